--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -28,7 +28,8 @@
 TRIAL_AFTER = 500 * MS      # a doubted worker's first trial; then doubling up to
 TRIAL_MOST = 4000 * MS
 DOUBT_SHARE = 0.34          # of like workers may be doubted for silence alone at once
-SILENT_TIMES = 4            # silent this many times as long as like workers take
+SILENT_LEAST = 500 * MS      # shorter silences mean nothing
+SILENT_TIMES = 3            # silent this many times as long as like workers take
 COLD_SHARE = 0.6            # of the cold budget is used
 FULL = 0.97                 # memory share past which a writer makes questions wait
 LINE_PART = 0.3             # of the promised time a question may wait for room at the desk
@@ -236,7 +237,7 @@
             like = self.like()
             times = [f for w in like for f in w.recent(w.waits if self.writes else w.times())]
             usual = max(times, default=0)
-            limit = max(SILENT_TIMES * usual, 4 * TICK)
+            limit = max(SILENT_TIMES * usual, SILENT_LEAST)
             doubted = sum(1 for w in like if w.doubted)
             if quiet > limit and doubted + 1 <= max(1, DOUBT_SHARE * len(like)):
                 self.doubt(f"silent {quiet // MS} ms, like workers take {usual // MS}")
@@ -360,12 +361,14 @@
             self.held_by = send.worker
         if outcome == NO_STATE or (send.worker is self.held_by and outcome in (CUT, NO_ROUTE)):
             self.held_by = None
-        if final or self.streams:
+        if final:
             self.closed = True
         if self.closed:
             self.let_go()
         elif self.out:
             return
+        elif self.streams:      # an outcome that leaves the answer to us although the stream had begun
+            self.close()
         elif outcome == READ:
             self.hand_over()
         else:
