--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -31,7 +31,7 @@
 SILENT_LEAST = 600 * MS     # shorter silences mean nothing
 SILENT_TIMES = 3            # silent this many times as long as what waits there should take
 COLD_SHARE = 0.6            # of the cold budget is used
-FULL = 0.97                 # memory share past which a writer makes questions wait
+FULL = 0.92                 # memory share past which a writer makes questions wait
 LINE_PART = 0.3             # of the promised time a question may wait for room at the desk
 SELF_READ = 0.25            # a prompt is short for a mixed server if read within this part of the promised time
 UNREAD_WEIGHT = 1.0         # pair score of the reading time itself: what is kept saves readers' work
@@ -131,13 +131,11 @@
         return sum(1 for s in self.out if not s.reads)
 
     def share(self):
-        """Memory share: the mean of the last reports, moved by what we sent and ended since."""
-        told = [(r.memory_share, ours) for at, r, _, ours in self.reports
-                if r.memory_share is not None and self.router.now - at < FRESH]
-        if not told:
-            return None
-        moved = (self.ours(False) - told[-1][1]) / max(1, self.box.memory)
-        return max(0.0, sum(s for s, _ in told) / len(told) + moved)
+        """Memory share: the last reports, each moved by what routers like us sent and ended since it."""
+        now = self.ours(False)
+        told = [r.memory_share + (now - ours) * self.routers / max(1, self.box.memory)
+                for at, r, _, ours in self.reports if r.memory_share is not None and self.router.now - at < FRESH]
+        return max(0.0, sum(told) / len(told)) if told else None
 
     def load(self):
         """Writer score: our streams there plus the reported memory share; not yet reported = average."""
