--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -22,7 +22,8 @@
 READ_FLOOR = 400            # tokens' worth of time that any read takes
 PROBE_EVERY = 900 * MS      # per worker, where only probes report
 FAR_ZONE = 0.08             # pair score of a pair in another zone, in promised times
-FAR_CELL = 0.5              # pair score of a reader outside the writer's cell
+FAR_CELL = 0.3              # pair score of a reader outside the writer's cell ...
+FAR_AFTER = 0.25            # ... who is looked at when the cell's own would take this part of the promised time
 MEMORY_WEIGHT = 0.6         # pair score of a full writer, in promised times
 FAVOURED = 0.5              # part of the prefix that the hashed reader is taken to hold
 TRIAL_AFTER = 500 * MS      # a doubted worker's first trial; then doubling up to
@@ -549,8 +550,8 @@
         for writer in ranked[:SHORT_LIST]:
             near = [r for r in readers if r.box.cell == writer.box.cell
                     and (r.box.role == "read" or r is writer)]
-            far = 0.0
-            if not any(r.box.role == "read" for r in near):     # departure: the cell's readers are out of service
+            soonest = min((r.read_time(slip.prompt - r.kept_tokens(slip)) for r in near), default=slip.patience)
+            if soonest > FAR_AFTER * scale:     # departure: the cell's readers are out of service or far behind
                 near += [r for r in readers if r.box.role == "read" and r.box.cell != writer.box.cell]
             favoured = self.favoured(slip, near)
             for reader in near:
