--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -404,6 +404,8 @@
         """The state waits: the fixed writer takes it, else the next of its cell on the list."""
         cell = self.held_by.box.cell
         fixed = [w for w in self.writers if w not in self.tried and w.usable() and not w.doubted]
+        if fixed and not self.place and fixed[0].figures()[1] > FAR_AFTER * self.promised:
+            fixed.sort(key=lambda w: w.figures()[1])    # departure: the fixed writer filled up during the read
         if not fixed:       # departure: the list is used up or out of service; any ready writer of the cell
             fixed = [w for w in self.router.ranked(self) if w.box.cell == cell and w not in self.tried]
         for worker in fixed:
