--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -519,7 +519,7 @@
             benefit *= question.slip.benefit_share
         if question.sends:
             return max(question.left_to(), 0)
-        return min(question.promised * (0.4 + 0.6 * benefit), question.left_to())
+        return min(question.promised * (0.25 + 0.5 * benefit), question.left_to())
 
     def over_share(self, question):
         if not self.accounts:
