--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -19,6 +19,7 @@
 FRESH = 4000 * MS           # samples older than this say nothing of now
 TICK = 50 * MS              # how often silence, the lines and probes are looked at
 MARGIN = 30 * MS            # own clocks run out this long before the client's or a rule's
+FIRST_PACE = 0.5            # time per unread token before any was measured
 READ_FLOOR = 400            # tokens' worth of time that any read takes
 PROBE_EVERY = 900 * MS      # per worker, where only probes report
 FAR_ZONE = 0.08             # pair score of a pair in another zone, in promised times
@@ -28,6 +29,7 @@
 FAVOURED = 0.5              # part of the prefix that the hashed reader is taken to hold
 TRIAL_AFTER = 500 * MS      # a doubted worker's first trial; then doubling up to
 TRIAL_MOST = 4000 * MS
+TRIAL_BONUS = 1.0           # pair score of a reader whose trial is due, where no probe can clear it
 DOUBT_SHARE = 0.34          # of like workers may be doubted for silence alone at once
 SILENT_LEAST = 600 * MS     # shorter silences mean nothing
 SILENT_TIMES = 3            # silent this many times as long as what waits there should take
@@ -75,6 +77,7 @@
         self.waits = deque(maxlen=SAMPLES)      # (time, time to first token) of writes
         self.paces = deque(maxlen=SAMPLES)      # (time, time per unread token) of reads
         self.starts = deque(maxlen=4 * SAMPLES)
+        self.unread = deque(maxlen=SAMPLES)     # unread tokens of the last reads
         self.kept = {}                          # session or prefix -> tokens, oldest use first
         self.heard = router.now
         self.doubted, self.trial_at, self.strikes = False, 0, 0
@@ -95,9 +98,10 @@
     def figures(self):
         """(load, time to first token, time per unread token, tokens ahead, slowness), worked out once a turn."""
         if self.worked_out[0] != self.router.turn:
-            pace = middle(self.recent(self.paces)) or middle([f for w in self.like() for f in w.recent(w.paces)])
+            like = [f for w in self.like() for f in w.recent(w.paces)]
+            pace = middle(self.recent(self.paces)) or middle(like) or FIRST_PACE
             self.worked_out = (self.router.turn, (
-                self.load(), self.write_wait(), pace or 0.5, self.tokens_ahead(), self.slowness()))
+                self.load(), self.write_wait(pace), pace, self.tokens_ahead(pace), self.slowness()))
         return self.worked_out[1]
 
     def read_time(self, unread):
@@ -112,24 +116,25 @@
     def ours(self, reads):
         return sum(s.unread if reads else s.memory for s in self.out if s.reads == reads or self.box.role == "both")
 
-    def tokens_ahead(self):
-        """Our prompt tokens waiting, and what reports tell of others'."""
+    def tokens_ahead(self, pace):
+        """Our prompt tokens waiting, and what reports tell of others'; not yet reported = average."""
         ours = sum(s.unread for s in self.out if s.reads or (s.first is None and self.box.role == "both"))
-        others = self.others()
+        others = self.others(pace)
         if others is None:
-            known = [o for o in (w.others() for w in self.like()) if o is not None]
+            known = [o for o in (w.others(pace) for w in self.like()) if o is not None]
             others = sum(known) / len(known) if known else 0
         return ours + others
 
-    def others(self):
-        """Tokens that others had waiting by the last report that is not too old."""
-        told = [r for at, r, _, _ in self.reports if self.router.now - at < FRESH]
-        if not told or told[-1].tokens_waiting is None:
+    def others(self, pace):
+        """Tokens of others waiting by the last report, less what was read since: a queue ages in no time."""
+        if not self.reports:
             return None
-        return max(0, told[-1].tokens_waiting - self.reports[-1][2])
-
-    def streams(self):
-        return sum(1 for s in self.out if not s.reads)
+        at, report, ours, _ = self.reports[-1]
+        told = report.tokens_waiting
+        if told is None:
+            told = (report.held or 0) * (middle(self.unread) or 0) if self.box.role == "read" else 0
+        age = self.router.now - at
+        return max(0, told - ours) * max(0, 1 - age / FRESH) if self.writes else max(0, told - ours - age / pace)
 
     def share(self):
         """Memory share: the last reports, each moved by what routers like us sent and ended since it."""
@@ -147,13 +152,13 @@
         mine = self.ours(False) * self.routers / max(1, self.box.memory)
         return (share + mine) / 2
 
-    def write_wait(self):
+    def write_wait(self, pace):
         """Time to the first token here: of late, and what must end before memory is free."""
         now = self.router.now
         late = max((now - s.start for s in self.out if not s.reads and s.first is None), default=0)
         base = middle([f for at, f in self.waits if now - at < FRESH // 3]) or 0
         stays = middle([f for w in self.like() for _, f in w.turnover]) or FRESH
-        over = (self.share() or 0) + (self.others() or 0) / max(1, self.box.memory) - FULL
+        over = (self.share() or 0) + (self.others(pace) or 0) / max(1, self.box.memory) - FULL
         return int(max(base, late // 2, over * stays))
 
     def cold(self):
@@ -218,7 +223,7 @@
         if outcome in (READ, DONE, NO_ROOM, NO_STATE) or report is not None:
             self.trust()
         if outcome == READ:
-            unread = max(0, slip.prompt - kept)
+            self.unread.append(max(0, slip.prompt - kept))
             self.paces.append((now, (now - send.start) / (send.unread + send.ahead + READ_FLOOR)))
             if kept < (slip.prompt - send.unread) // 2:     # it forgot what it had kept: so it has for others
                 self.kept.clear()
@@ -346,7 +351,7 @@
             return False
         unread = self.slip.prompt - worker.kept_tokens(self.slip) if worker.reads and not self.held_by else 0
         send = Send(self, worker, reads, max(0, unread), self.router.now)
-        send.ahead = worker.tokens_ahead() if worker.reads else 0
+        send.ahead = worker.figures()[3] if worker.reads else 0
         self.sends += 1
         self.out.append(send)
         left = self.left_to()
@@ -467,9 +472,9 @@
 class Desk(Actor):
     """Chooses pairs, keeps the two lines, admits by benefit."""
 
-    def __init__(self, router, zone, routers, use_cases, accounts):
+    def __init__(self, router, zone, routers, use_cases, accounts, probes):
         super().__init__(router)
-        self.zone, self.routers, self.accounts = zone, routers, accounts
+        self.zone, self.routers, self.accounts, self.probes = zone, routers, accounts, probes
         self.best_benefit = max((c.benefit for c in use_cases), default=1.0)
         self.first, self.further = deque(), deque()
         self.seen = [deque(maxlen=64) for _ in accounts]
@@ -569,6 +574,8 @@
                 score = (took + UNREAD_WEIGHT * alone) / scale + self.writer_score(writer) + far
                 if reader in question.tried:
                     score += 1.0
+                if reader.doubted and not question.sends and not self.probes:   # its single trial is due
+                    score -= TRIAL_BONUS
                 if best is None or score < best[0]:
                     best = (score, took, reader, writer)
         if best is None:
@@ -595,7 +602,7 @@
         self.rng = Random(seed)
         self.due, self.turn = deque(), 0
         self.workers, self.questions = {}, {}
-        self.desk = Desk(self, zone, routers, use_cases, accounts)
+        self.desk = Desk(self, zone, routers, use_cases, accounts, permits.probes)
         self.ticking = False
 
     def run(self):
