--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -77,7 +77,6 @@
         self.waits = deque(maxlen=SAMPLES)      # (time, time to first token) of writes
         self.paces = deque(maxlen=SAMPLES)      # (time, time per unread token) of reads
         self.starts = deque(maxlen=4 * SAMPLES)
-        self.unread = deque(maxlen=SAMPLES)     # unread tokens of the last reads
         self.kept = {}                          # session or prefix -> tokens, oldest use first
         self.heard = router.now
         self.doubted, self.trial_at, self.strikes = False, 0, 0
@@ -130,9 +129,7 @@
         if not self.reports:
             return None
         at, report, ours, _ = self.reports[-1]
-        told = report.tokens_waiting
-        if told is None:
-            told = (report.held or 0) * (middle(self.unread) or 0) if self.box.role == "read" else 0
+        told = report.tokens_waiting or 0
         age = self.router.now - at
         return max(0, told - ours) * max(0, 1 - age / FRESH) if self.writes else max(0, told - ours - age / pace)
 
@@ -223,7 +220,6 @@
         if outcome in (READ, DONE, NO_ROOM, NO_STATE) or report is not None:
             self.trust()
         if outcome == READ:
-            self.unread.append(max(0, slip.prompt - kept))
             self.paces.append((now, (now - send.start) / (send.unread + send.ahead + READ_FLOOR)))
             if kept < (slip.prompt - send.unread) // 2:     # it forgot what it had kept: so it has for others
                 self.kept.clear()
