--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -161,17 +161,17 @@
     def cold(self):
         return self.born is not None and self.router.now - self.born < self.lawbook.cold_for
 
+    def bore(self):
+        """Sends of ours a tick that this worker bore at its busiest, among the last ones; 0 = not known."""
+        spans = [self.starts[i + 2 * SAMPLES] - self.starts[i] for i in range(len(self.starts) - 2 * SAMPLES)]
+        return 2 * SAMPLES / max(1, min(spans)) if spans else 0
+
     def cold_gap(self):
-        """Even spacing of our sends to a cold worker: our part of what it can surely do, from warm peers."""
-        warm = [w for w in self.like() if not w.cold() and w is not self]
-        span = 8 * FRESH // 4
-        now = self.router.now
-        sends = sum(1 for w in warm for at in w.starts if now - at < span)
-        seen = min(span, max(1, now - self.router.since))
-        rate = sends / seen / len(warm) if warm and now - self.router.since > FRESH // 4 else 0
+        """Rule 4: even spacing of our sends to a cold worker, from what like workers bore, also before they
+        fell: when all of a kind restart at once no warm one is left to tell, and hardly any would be sent."""
+        rate = middle([r for r in (w.bore() for w in self.like()) if r])
         part = self.lawbook.cold_multiple * self.lawbook.cold_from * COLD_SHARE
-        most = self.lawbook.cold_for // 2
-        return min(most, int(1 / (rate * part))) if rate else most
+        return int(1 / (rate * part)) if rate else 2 * self.lawbook.cold_window
 
     def usable(self):
         """May be picked now: ready, inside its cold budget, trusted or due for its single trial."""
