--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -34,6 +34,7 @@
 SILENT_LEAST = 600 * MS     # shorter silences mean nothing
 SILENT_TIMES = 3            # silent this many times as long as what waits there should take
 COLD_SHARE = 0.6            # of the cold budget is used
+COLD_RAMP = 0.5             # of an even rise from cold to warm is counted on
 FULL = 0.92                 # memory share past which a writer makes questions wait
 LINE_PART = 0.3             # of the promised time a question may wait for room at the desk
 SELF_READ = 0.25            # a prompt is short for a mixed server if read within this part of the promised time
@@ -170,7 +171,8 @@
         """Rule 4: even spacing of our sends to a cold worker, from what like workers bore, also before they
         fell: when all of a kind restart at once no warm one is left to tell, and hardly any would be sent."""
         rate = middle([r for r in (w.bore() for w in self.like()) if r])
-        part = self.lawbook.cold_multiple * self.lawbook.cold_from * COLD_SHARE
+        grown = COLD_RAMP * (1 - self.lawbook.cold_from) * (self.router.now - self.born) / self.lawbook.cold_for
+        part = self.lawbook.cold_multiple * (self.lawbook.cold_from + max(0, grown)) * COLD_SHARE
         return int(1 / (rate * part)) if rate else 2 * self.lawbook.cold_window
 
     def usable(self):
