Rank writers by how far their streams miss the promised pace

Should also catch slow writers and noisy neighbours; hurts where hints are far off for one use case, as they are for all writers alike.

--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -39,7 +39,7 @@
 LINE_PART = 0.3             # of the promised time a question may wait for room at the desk
 SELF_READ = 0.25            # a prompt is short for a mixed server if read within this part of the promised time
 UNREAD_WEIGHT = 1.0         # pair score of the reading time itself: what is kept saves readers' work
-SLOW_WEIGHT = 0.3           # pair score of a writer that streams at half its peers' pace
+SLOW_WEIGHT = 0.5           # pair score of a writer whose streams take twice their promised pace
 LOOKED_AT = 12              # questions of a line looked at in one pass
 
 
@@ -109,9 +109,9 @@
         return int((unread + ahead + READ_FLOOR) * pace)
 
     def slowness(self):
-        """How much longer streams take here than at the middle of like workers, for the same use."""
-        mine, like = middle(self.recent(self.streamed)), [f for w in self.like() for f in w.recent(w.streamed)]
-        return max(-0.5, min(1.5, mine / middle(like) - 1)) if mine and len(like) > SAMPLES else 0.0
+        """How far streams that ended here of late took longer than their promised pace, at most 1.5."""
+        told = self.recent(self.streamed)
+        return max(-0.5, min(1.5, sum(told) / len(told) - 1)) if told else 0.0
 
     def ours(self, reads):
         return sum(s.unread if reads else s.memory for s in self.out if s.reads == reads or self.box.role == "both")
