--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -69,21 +69,19 @@
 class Worker(Actor):
     """One reader, writer or mixed server: samples, our sends there, health, drain and cold budget."""
 
-    def __init__(self, router, box, lawbook, routers, rng):
+    def __init__(self, router, box, lawbook, routers, chance):
         super().__init__(router)
-        self.box, self.lawbook, self.routers, self.rng = box, lawbook, routers, rng
+        self.box, self.lawbook, self.routers = box, lawbook, routers
         self.reads, self.writes = box.role != "write", box.role != "read"
-        self.state, self.told_at, self.born = box.state, None, box.born
+        self.state, self.born = box.state, box.born
         self.out, self.reports = [], deque(maxlen=3)
         self.waits = deque(maxlen=SAMPLES)      # (time, time to first token) of writes
         self.paces = deque(maxlen=SAMPLES)      # (time, time per unread token) of reads
         self.starts = deque(maxlen=4 * SAMPLES)
         self.kept = {}                          # session or prefix -> tokens, oldest use first
-        self.heard = router.now
+        self.heard, self.cold_next = router.now, 0
         self.doubted, self.trial_at, self.strikes = False, 0, 0
-        self.probe_at = router.now + int(rng.random() * PROBE_EVERY)
-        self.probed_at = None
-        self.cold_next = 0
+        self.probe_at, self.probing = router.now + int(chance() * PROBE_EVERY), False
         self.streamed = deque(maxlen=SAMPLES)   # (time, stream's time over what its tokens were promised)
         self.turnover = deque(maxlen=SAMPLES)   # (time, stream's time)
         self.worked_out = (-1, None)
@@ -187,8 +185,7 @@
     # Notes
     def on_listed(self, state, born):
         if state != self.state:
-            self.told_at = self.router.now if state != "ready" else None
-            self.router.log(f"worker {self.box.mark % 9973} {self.state} -> {state}, {len(self.out)} out")
+            self.router.host.log(f"worker {self.box.mark % 9973} {self.state} -> {state}, {len(self.out)} out")
         if born != self.born or (self.state == "gone" and state == "ready"):
             self.kept.clear()
             self.reports.clear()
@@ -216,8 +213,8 @@
         self.out.remove(send)
         now, slip = self.router.now, send.question.slip
         if outcome == DONE and send.first is not None:
-            case = slip.use_case
-            self.streamed.append((now, (now - send.first) / max(1, send.question.likely * case.pace)))
+            promised = max(1, send.question.likely * slip.use_case.pace)
+            self.streamed.append((now, (now - send.first) / promised))
             self.turnover.append((now, now - send.first))
         if outcome in (READ, DONE, NO_ROOM, NO_STATE) or report is not None:
             self.trust()
@@ -241,7 +238,7 @@
             self.reports.append((now, report, self.ours(True), self.ours(False)))
 
     def on_probed(self, fine, report):
-        self.probed_at = None
+        self.probing = False
         if report is not None:
             self.reports.append((self.router.now, report, self.ours(True), self.ours(False)))
         if fine:
@@ -251,9 +248,8 @@
 
     def on_tick(self, probes):
         now = self.router.now
-        if probes and self.state == "ready" and self.probed_at is None and now >= self.probe_at:
-            self.probe_at = now + PROBE_EVERY
-            self.probed_at = now
+        if probes and self.state == "ready" and not self.probing and now >= self.probe_at:
+            self.probe_at, self.probing = now + PROBE_EVERY, True
             self.router.host.probe(self.box)
         waiting = [s.start for s in self.out if s.first is None]
         if waiting and not self.doubted:
@@ -277,7 +273,7 @@
     def trust(self):
         self.heard = self.router.now
         if self.doubted:
-            self.router.log(f"worker {self.box.mark % 9973} trusted again after {self.strikes} strikes")
+            self.router.host.log(f"worker {self.box.mark % 9973} trusted again after {self.strikes} strikes")
         self.doubted, self.strikes = False, 0
 
     def doubt(self, why, proved=False):
@@ -288,7 +284,7 @@
                 sum(1 for w in like if w.doubted) + 1 > max(1, DOUBT_SHARE * len(like))):
             return
         if not self.doubted:
-            self.router.log(f"worker {self.box.mark % 9973} doubted: {why}")
+            self.router.host.log(f"worker {self.box.mark % 9973} doubted: {why}")
             self.kept.clear()
         self.doubted = True
         self.trial_at = self.router.now + min(TRIAL_MOST, TRIAL_AFTER << min(self.strikes, 6))
@@ -336,10 +332,9 @@
         if self.closed:
             return
         self.writers = list(writers)
-        if reader is writers[0]:
-            self.writers = self.writers[1:]
-            self.send(reader, False)
-        elif self.send(reader, True) and self.permits.places and self.router.guard(self, writers[0], place=True):
+        if not self.send(reader, reader is not writers[0]):
+            self.router.desk.note("further", self)      # what allowed it was used up by another since
+        elif reader is not writers[0] and self.permits.places and self.router.guard(self, writers[0], place=True):
             self.place = writers[0]
             self.router.host.hold_place(self.slip, writers[0].box)
             writers[0].note("placed")
@@ -386,8 +381,7 @@
             self.held_by = send.worker
         if outcome == NO_STATE or (send.worker is self.held_by and outcome in (CUT, NO_ROUTE)):
             self.held_by = None
-        if final:
-            self.closed = True
+        self.closed = self.closed or final
         if self.closed:
             self.let_go()
         elif self.out:
@@ -398,26 +392,18 @@
             self.hand_over()
         else:
             self.tried.append(send.worker)
-            if self.held_by:
-                self.hand_over()
-            else:
-                self.again()
+            (self.hand_over if self.held_by else self.again)()
 
     def hand_over(self):
         """The state waits: the fixed writer takes it, else the next of its cell on the list."""
-        cell = self.held_by.box.cell
-        fixed = [w for w in self.writers if w not in self.tried and w.usable() and not w.doubted]
-        if fixed and not self.place and fixed[0].figures()[1] > FAR_AFTER * self.promised:
-            fixed.sort(key=lambda w: w.figures()[1])    # departure: the fixed writer filled up during the read
-        if not fixed:       # departure: the list is used up or out of service; any ready writer of the cell
-            fixed = [w for w in self.router.ranked(self) if w.box.cell == cell and w not in self.tried]
-        for worker in fixed:
-            if self.send(worker, False):
-                return
-        for worker in self.router.ranked(self):     # departure: no writer of the cell is left; cross the link
-            if worker not in self.tried and self.send(worker, False):
-                return
-        self.again()
+        ranked = [w for w in self.router.desk.ranked(self) if w not in self.tried]
+        listed = [w for w in self.writers if w in ranked and not w.doubted]
+        if listed and not self.place and listed[0].figures()[1] > FAR_AFTER * self.promised:
+            listed.sort(key=lambda w: w.figures()[1])   # departure: the fixed writer filled up during the read
+        rest = [w for w in ranked if w not in listed]   # departure: the list is used up or out of service
+        rest.sort(key=lambda w: w.box.cell != self.held_by.box.cell)
+        if not any(self.send(worker, False) for worker in listed + rest):
+            self.again()
 
     def again(self):
         """Another pair, by the further line; or an answer at once if there can be none."""
@@ -429,15 +415,12 @@
             self.router.desk.note("further", self)
 
     def on_time_up(self):
-        if not self.closed and not self.streams:
+        if not self.streams:
             self.close()
 
     def on_left(self):
         self.finish()
 
-    def on_give_up(self):
-        self.close()
-
     def close(self):
         """The one ending by our own decision: turned back where that is harmless, else scrapped."""
         if self.closed:
@@ -460,11 +443,11 @@
             self.let_go()
 
     def let_go(self):
-        if (self.held_by or self.place) or self.sends:
+        if self.sends:
             self.router.host.let_go(self.slip)
         self.held_by = self.place = None
         if self.closed and not self.out:
-            self.router.forget(self.slip)
+            self.router.note("ended", self.slip)
 
 
 class Desk(Actor):
@@ -476,22 +459,19 @@
         self.best_benefit = max((c.benefit for c in use_cases), default=1.0)
         self.first, self.further = deque(), deque()
         self.seen = [deque(maxlen=64) for _ in accounts]
-        self.shedding = False
+        self.shedding, self.turned = False, deque(maxlen=SAMPLES)
 
     def on_arrived(self, question):
         if self.accounts:
             self.seen[min(question.slip.account, len(self.seen) - 1)].append(self.router.now)
         self.first.append(question)
-        self.serve()
+        self.on_serve()
 
     def on_further(self, question):
         self.further.append(question)
-        self.serve()
+        self.on_serve()
 
     def on_serve(self):
-        self.serve()
-
-    def serve(self):
         """One question that has room goes; those out of time are answered at once."""
         for line in (self.first, self.further):
             ranked = sorted(line, key=lambda q: -q.slip.use_case.benefit)
@@ -508,7 +488,13 @@
                 waited = self.router.now - question.arrived
                 if waited >= self.patience(question):
                     line.remove(question)
-                    question.note("give_up")
+                    question.note("time_up")
+                    self.turned.append(self.router.now)
+        recent = sum(1 for at in self.turned if self.router.now - at < FRESH // 2)
+        if (recent > 2) != self.shedding and recent in (0, 3):
+            self.shedding = recent > 2
+            self.router.host.log(f"desk {'short of' if self.shedding else 'has'} room: {recent} turned back of late, "
+                                 f"{len(self.first)} + {len(self.further)} in line")
 
     def patience(self, question):
         if question.sends:
@@ -534,8 +520,7 @@
 
     def writer_score(self, writer):
         far = FAR_ZONE if writer.box.zone != self.zone else 0.0
-        load, _, _, _, slowness = writer.figures()
-        return MEMORY_WEIGHT * load + SLOW_WEIGHT * slowness + far
+        return MEMORY_WEIGHT * writer.figures()[0] + SLOW_WEIGHT * writer.figures()[4] + far
 
     def ranked(self, question):
         """Writers that may take this question, best first; doubted ones only if no other is left."""
@@ -567,11 +552,9 @@
                 if reader is writer and alone > SELF_READ * scale:
                     continue
                 far = FAR_CELL if reader.box.cell != writer.box.cell else 0.0
-                reading = reader.read_time(max(0, unread))
-                took = reading + writer.figures()[1]
+                took = reader.read_time(max(0, unread)) + writer.figures()[1]
                 score = (took + UNREAD_WEIGHT * alone) / scale + self.writer_score(writer) + far
-                if reader in question.tried:
-                    score += 1.0
+                score += (reader in question.tried) + (writer in question.tried)
                 if reader.doubted and not question.sends and not self.probes:   # its single trial is due
                     score -= TRIAL_BONUS
                 if best is None or score < best[0]:
@@ -585,19 +568,19 @@
     @staticmethod
     def favoured(slip, readers):
         """The reader that a hash of the prefix picks in the cell while none is known to hold it."""
-        key = slip.prefix or slip.session
         if not slip.prefix or any(slip.prefix in r.kept for r in readers):
             return None
-        return max(readers, key=lambda r: crc32(f"{key} {r.box.mark}".encode()), default=None)
+        return max(readers, key=lambda r: crc32(f"{slip.prefix} {r.box.mark}".encode()), default=None)
 
 
-class Router:
+class Router(Actor):
     """Owns the loop that empties the inboxes, the guard of every send, and the clocks."""
 
     def __init__(self, host, *, seed, routers, zone, use_cases, accounts, permits, lawbook, now=0):
-        self.host, self.now, self.since = host, now, now
+        super().__init__(self)
+        self.host, self.now = host, now
         self.permits, self.lawbook, self.routers = permits, lawbook, routers
-        self.rng = Random(seed)
+        self.chance = Random(seed).random
         self.due, self.turn = deque(), 0
         self.workers, self.questions = {}, {}
         self.desk = Desk(self, zone, routers, use_cases, accounts, permits.probes)
@@ -610,12 +593,6 @@
             self.turn += 1
             getattr(actor, "on_" + word)(*figures)
 
-    def log(self, line):
-        self.host.log(line)
-
-    def ranked(self, question):
-        return self.desk.ranked(question)
-
     def guard(self, question, worker, reads=False, place=False):
         """Rules 1 to 4 for every send and every place held ahead."""
         if question.closed or question.streams or question.left_to() <= 0:
@@ -626,7 +603,7 @@
             return False                                                        # 3
         return not (worker.cold() and self.now < worker.cold_next)              # 4
 
-    def forget(self, slip):
+    def on_ended(self, slip):
         self.questions.pop(slip, None)
 
     # Events
@@ -634,7 +611,7 @@
         self.now = now
         for box in boxes:
             if box not in self.workers:
-                self.workers[box] = Worker(self, box, self.lawbook, self.routers, self.rng)
+                self.workers[box] = Worker(self, box, self.lawbook, self.routers, self.chance)
             self.workers[box].note("listed", box.state, box.born)
         if not self.ticking:
             self.ticking = True
