--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -137,8 +137,8 @@
             if box is None:
                 flavor = int(flavor)
                 box = self.boxes[address] = door.Box(
-                    mark=zlib.crc32(address.encode()), role=self.roles[min(flavor, len(self.roles) - 1)], cell=int(cell),
-                    zone=int(zone), memory=int(self.memory[flavor]) if flavor < len(self.memory) else 0)
+                    mark=zlib.crc32(address.encode()), role=self.roles[min(flavor, len(self.roles) - 1)],
+                    cell=int(cell), zone=int(zone), memory=int(self.memory[flavor]) if flavor < len(self.memory) else 0)
                 self.ids[box] = address
             box.cell, box.zone = int(cell), int(zone)
             box.weight = 1.0 if weight == "-" else float(weight)
@@ -227,8 +227,9 @@
             latency=None if latency is None else int(latency * 10))
 
 
-EVENTS = {"WORK_ITEM": ("work_item", 11), "HEAD_RECEIVED": ("head_received", 4), "PLACE_NOTE": ("place_note", 5),
-          "FINISHED": ("finished", 8), "SAMPLED": ("sampled", 4), "GONE": ("gone", 1), "REMINDER": ("reminder", 1)}
+EVENTS = {"WORK_ITEM": ("work_item", 11), "HEAD_RECEIVED": ("head_received", 4),
+          "PLACE_NOTE": ("place_note", 5), "FINISHED": ("finished", 8), "SAMPLED": ("sampled", 4),
+          "GONE": ("gone", 1), "REMINDER": ("reminder", 1)}
 
 
 def pad(fields, count):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -40,14 +40,14 @@
 SELF_READ = 0.25            # prompts read within this part of the promised time are short for a mixed one
 UNREAD_WEIGHT = 1.0         # pair score of the reading time itself: what is kept saves readers' work
 SLOW_WEIGHT = 0.5           # pair score of a writer whose streams take twice their promised pace
-LOOKED_AT = 12              # questions of a line looked at in one pass
+LOOKED_AT = 6               # questions of a line looked at in one pass
 
 
 class Actor:
     """Takes one note at a time from its inbox; `on_<word>` acts on it."""
 
     def __init__(self, router):
-        self.router, self.inbox = router, deque()
+        self.router, self.inbox, self.turn = router, deque(), 0
 
     @property
     def now(self):
@@ -74,7 +74,7 @@
 
     def __init__(self, router, box, lawbook, routers, chance):
         super().__init__(router)
-        self.box, self.lawbook, self.routers = box, lawbook, routers
+        self.box, self.lawbook, self.routers, self.name = box, lawbook, routers, box.mark % 9973
         self.reads, self.writes = box.role != "write", box.role != "read"
         self.state, self.born = box.state, box.born
         self.out, self.reports = [], deque(maxlen=3)
@@ -98,11 +98,14 @@
 
     def figures(self):
         """(load, time to first token, time per unread token, tokens ahead, slowness), once a turn."""
-        if self.worked_out[0] != self.router.turn:
-            like = [f for w in self.like() for f in w.recent(w.paces)]
-            pace = middle(self.recent(self.paces)) or middle(like) or FIRST_PACE
-            self.worked_out = (self.router.turn, (
-                self.load(), self.write_wait(pace), pace, self.tokens_ahead(pace), self.slowness()))
+        if self.worked_out[0] != (self.now, self.turn):
+            pace, stays, others, share = self.router.fleet(self)
+            pace = middle(self.recent(self.paces)) or pace
+            told, held, room = self.others(pace), self.share(), max(1, self.box.memory)
+            load = ((share if held is None else held) + self.ours(False) * self.routers / room) / 2
+            wait = self.write_wait(stays, (held or 0) + (told or 0) / room - FULL)
+            ahead = (others if told is None else told) + sum(s.unread for s in self.out if s.first is None)
+            self.worked_out = ((self.now, self.turn), (load, wait, pace, ahead, self.slowness()))
         return self.worked_out[1]
 
     def read_time(self, unread):
@@ -111,22 +114,12 @@
 
     def slowness(self):
         """How far streams that ended here of late took longer than their promised pace, at most 1.5."""
-        told = self.recent(self.streamed)
-        return max(-0.5, min(1.5, sum(told) / len(told) - 1)) if told else 0.0
+        return max(-0.5, min(1.5, (mean(self.recent(self.streamed)) or 1.0) - 1))
 
     def ours(self, reads):
         both = self.box.role == "both"
         return sum(s.unread if reads else s.memory for s in self.out if s.reads == reads or both)
 
-    def tokens_ahead(self, pace):
-        """Our prompt tokens waiting, and what reports tell of others'; not yet reported = average."""
-        ours = sum(s.unread for s in self.out if s.reads or (s.first is None and self.box.role == "both"))
-        others = self.others(pace)
-        if others is None:
-            known = [o for o in (w.others(pace) for w in self.like()) if o is not None]
-            others = sum(known) / len(known) if known else 0
-        return ours + others
-
     def others(self, pace):
         """Tokens of others waiting by the last report, less what was read since: a queue ages in no time."""
         if not self.reports:
@@ -142,22 +135,10 @@
                 for at, r, _, ours in self.reports if r.memory_share is not None and self.now - at < FRESH]
         return max(0.0, sum(told) / len(told)) if told else None
 
-    def load(self):
-        """Writer score: our streams there plus the reported memory share; not yet reported = average."""
-        share = self.share()
-        if share is None:
-            known = [s for s in (w.share() for w in self.like()) if s is not None]
-            share = sum(known) / len(known) if known else 0.0
-        mine = self.ours(False) * self.routers / max(1, self.box.memory)
-        return (share + mine) / 2
-
-    def write_wait(self, pace):
+    def write_wait(self, stays, over):
         """Time to the first token here: of late, and what must end before memory is free."""
-        now = self.now
-        late = max((now - s.start for s in self.out if not s.reads and s.first is None), default=0)
-        base = middle([f for at, f in self.waits if now - at < FRESH // 3]) or 0
-        stays = middle([f for w in self.like() for _, f in w.turnover]) or FRESH
-        over = (self.share() or 0) + (self.others(pace) or 0) / max(1, self.box.memory) - FULL
+        late = max((self.now - s.start for s in self.out if not s.reads and s.first is None), default=0)
+        base = middle([f for at, f in self.waits if self.now - at < FRESH // 3]) or 0
         return int(max(base, late // 2, over * stays))
 
     def cold(self):
@@ -189,7 +170,7 @@
     # Notes
     def on_listed(self, state, born):
         if state != self.state:
-            self.router.host.log(f"worker {self.box.mark % 9973} {self.state} -> {state}, {len(self.out)} out")
+            self.router.host.log(f"worker {self.name} {self.state} -> {state}, {len(self.out)} out")
         if born != self.born or (self.state == "gone" and state == "ready"):
             self.kept.clear()
             self.reports.clear()
@@ -197,18 +178,15 @@
             self.cold_next = self.now
         self.state, self.born = state, born
 
-    def on_sent(self, send):
-        self.out.append(send)
-        self.starts.append(self.now)
+    def on_sent(self, *sends):
+        """A send, or none: a place held ahead, which weighs on a cold worker too."""
+        self.out += sends
+        self.starts += [self.now] * len(sends)
         if self.cold():
             self.cold_next = self.now + self.cold_gap()
         if self.doubted:
             self.trial_at = self.now + TRIAL_MOST
 
-    def on_placed(self):
-        if self.cold():
-            self.cold_next = self.now + self.cold_gap()
-
     def on_first(self, send):
         self.waits.append((self.now, self.now - send.start))
         self.trust()
@@ -217,13 +195,14 @@
         self.out.remove(send)
         now, slip = self.now, send.question.slip
         if outcome == DONE and send.first is not None:
-            self.streamed.append((now, (now - send.first) / max(1, send.question.likely * slip.use_case.pace)))
-            self.turnover.append((now, now - send.first))
+            took = now - send.first
+            self.streamed.append((now, took / max(1, send.question.likely * slip.use_case.pace)))
+            self.turnover.append((now, took))
         if outcome in (READ, DONE, NO_ROOM, NO_STATE) or report is not None:
             self.trust()
         if send.reads and outcome in (READ, TOO_SLOW):
             self.paces.append((now, (now - send.start) / (send.unread + send.ahead + READ_FLOOR)))
-        if outcome == READ:
+        if outcome == READ or (outcome == DONE and self.reads):
             if kept < (slip.prompt - send.unread) // 2:     # it forgot what it had kept: so it has for others
                 self.kept.clear()
             self.remember(slip.session, slip.prompt)
@@ -267,26 +246,25 @@
                     send.question.note("doubted", send)
 
     def remember(self, key, tokens):
-        tokens = max(tokens, self.kept.pop(key, 0))
-        self.kept[key] = tokens
+        self.kept[key] = max(tokens, self.kept.pop(key, 0))
         while self.box.memory and sum(self.kept.values()) > self.box.memory:
             del self.kept[next(iter(self.kept))]
 
     def trust(self):
         self.heard = self.now
         if self.doubted:
-            self.router.host.log(f"worker {self.box.mark % 9973} trusted again after {self.strikes} strikes")
+            self.router.host.log(f"worker {self.name} trusted again after {self.strikes} strikes")
         self.doubted, self.strikes = False, 0
 
     def doubt(self, why, proved=False):
         """Guards against dead and silent workers. Without proof only a part of like workers may be doubted
         at once: a cut zone, late reports or overload look like silence everywhere, not to condemn all."""
         like = self.like()
-        if not proved and not self.doubted and (
-                sum(1 for w in like if w.doubted) + 1 > max(1, DOUBT_SHARE * len(like))):
+        most = len(like) if proved or self.doubted else max(1, DOUBT_SHARE * len(like))
+        if sum(w.doubted for w in like if w is not self) + 1 > most and not proved:
             return
         if not self.doubted:
-            self.router.host.log(f"worker {self.box.mark % 9973} doubted: {why}")
+            self.router.host.log(f"worker {self.name} doubted: {why}")
             self.kept.clear()
         self.doubted = True
         self.trial_at = self.now + min(TRIAL_MOST, TRIAL_AFTER << min(self.strikes, 6))
@@ -299,13 +277,11 @@
     def __init__(self, router, slip, permits):
         super().__init__(router)
         self.slip, self.permits = slip, permits
-        self.arrived = self.now
-        self.leaves = self.now + slip.patience
+        self.arrived, self.leaves = self.now, self.now + slip.patience
         self.promised = slip.use_case.promised + slip.use_case.promised_per_k * slip.prompt // 1000
         self.likely = slip.likely_out or slip.most_out // 3
-        self.sends, self.out, self.tried = 0, [], []
+        self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
         self.held_by = self.place = None
-        self.writers, self.maybe_ran = [], []
         self.closed = self.streams = False
 
     def left_to(self):
@@ -314,20 +290,17 @@
     def may_run_at(self, worker):
         """Rule 2: whether another send, writing at this worker, keeps effects single."""
         case = self.slip.use_case
-        if self.out and not (self.permits.concurrent and case.effect == "pure"):
-            return False
-        if not self.maybe_ran or case.effect == "pure":
-            return True
-        if case.effect == "effectful":
-            return False
-        return all(self.now - s.start < case.window - MARGIN and (
-            case.group == "all" or (s.worker.box.zone == worker.box.zone if case.group == "zone"
-                                    else s.worker.box.cell == worker.box.cell)) for s in self.maybe_ran)
+        if self.out or case.effect == "pure" or not self.maybe_ran:
+            return not self.out
+        same = {"all": lambda box: 0, "zone": lambda box: box.zone, "cell": lambda box: box.cell}[case.group]
+        return case.effect == "receipted" and all(
+            self.now - s.start < case.window - MARGIN and same(s.worker.box) == same(worker.box)
+            for s in self.maybe_ran)
 
     def may_turn_back(self):
         case = self.slip.use_case
-        return (case.effect == "pure" or not (self.maybe_ran or any(not s.reads for s in self.out))
-                or (case.effect == "receipted" and case.group == "all"))
+        maybe = self.maybe_ran or any(not s.reads for s in self.out)
+        return case.effect == "pure" or not maybe or (case.effect == "receipted" and case.group == "all")
 
     # Notes
     def on_go(self, reader, writers):
@@ -340,7 +313,7 @@
                 and self.router.guard(self, writers[0], place=True)):
             self.place = writers[0]
             self.router.host.hold_place(self.slip, writers[0].box)
-            writers[0].note("placed")
+            writers[0].note("sent")
 
     def send(self, worker, reads):
         if not self.router.guard(self, worker, reads=reads):
@@ -369,9 +342,11 @@
 
     def on_doubted(self, send):
         """The worker fell silent: ask no longer, unless that would leave an effect in doubt."""
-        if self.closed or send not in self.out or send.withdrawn or not self.permits.withdraw:
-            return
-        if send.reads or self.slip.use_case.effect == "pure":
+        if send in self.out and (send.reads or self.slip.use_case.effect == "pure"):
+            self.drop(send)
+
+    def drop(self, send):
+        if self.permits.withdraw and not send.withdrawn and send.first is None:
             send.withdrawn = True
             self.router.host.withdraw(self.slip, send)
 
@@ -401,7 +376,7 @@
         ranked = [w for w in self.router.desk.ranked(self) if w not in self.tried]
         listed = [w for w in self.writers if w in ranked and not w.doubted]
         if listed and not self.place and listed[0].figures()[1] > FAR_AFTER * self.promised:
-            listed.sort(key=lambda w: w.figures()[1])   # departure: the fixed writer filled up during the read
+            listed.sort(key=lambda w: w.figures()[1])   # departure: the fixed writer filled up meanwhile
         rest = [w for w in ranked if w not in listed]   # departure: the list is used up or out of service
         rest.sort(key=lambda w: w.box.cell != self.held_by.box.cell)
         if not any(self.send(worker, False) for worker in listed + rest):
@@ -428,8 +403,7 @@
         if self.closed:
             return
         if self.may_turn_back():
-            wait = min(self.permits.longest_wait, self.promised // 2)
-            self.router.host.turn_back(self.slip, wait)
+            self.router.host.turn_back(self.slip, min(self.permits.longest_wait, self.promised // 2))
         else:
             self.router.host.scrap(self.slip)
         self.finish()
@@ -438,9 +412,7 @@
         """Every ending passes here: stop what runs, let go of what is held."""
         self.closed = True
         for send in self.out:
-            if not send.withdrawn and send.first is None and self.permits.withdraw:
-                send.withdrawn = True
-                self.router.host.withdraw(self.slip, send)
+            self.drop(send)
         if not self.out:
             self.let_go()
 
@@ -461,37 +433,44 @@
         self.best_benefit = max((c.benefit for c in use_cases), default=1.0)
         self.first, self.further = deque(), deque()
         self.seen = [deque(maxlen=64) for _ in accounts]
+        self.served = None
         self.shedding, self.turned = False, deque(maxlen=SAMPLES)
 
     def on_arrived(self, question):
         if self.accounts:
             self.seen[min(question.slip.account, len(self.seen) - 1)].append(self.now)
-        self.first.append(question)
-        self.on_serve()
+        if not self.offer(question):
+            self.first.append(question)
 
     def on_further(self, question):
-        self.further.append(question)
-        self.on_serve()
+        if self.first or not self.offer(question):
+            self.further.append(question)
+
+    def offer(self, question):
+        """Sends a question on its way if a pair has room for its benefit."""
+        pair = self.pair(question)
+        if pair is None or pair[0] > self.limit(question):
+            return False
+        question.note("go", *pair[1:])
+        return True
 
     def on_serve(self):
-        """One question that has room goes; those out of time are answered at once."""
+        """Looks at the lines once a time and after each send: those out of time are answered at once."""
+        if self.served == self.now:
+            return
         for line in (self.first, self.further):
-            ranked = sorted(line, key=lambda q: -q.slip.use_case.benefit)
-            for place, question in enumerate(ranked):
+            for place, question in enumerate(sorted(line, key=lambda q: -q.slip.use_case.benefit)):
                 if question.closed:
                     line.remove(question)
-                    continue
-                pair = self.pair(question) if place < LOOKED_AT else None
-                if pair and pair[0] <= self.limit(question):
+                elif place < LOOKED_AT and self.offer(question):
                     line.remove(question)
-                    question.note("go", *pair[1:])
                     self.note("serve")
                     return
-                waited = self.now - question.arrived
-                if waited >= self.patience(question):
+                elif self.now - question.arrived >= self.patience(question):
                     line.remove(question)
                     question.note("time_up")
                     self.turned.append(self.now)
+        self.served = self.now
         recent = sum(1 for at in self.turned if self.now - at < FRESH // 2)
         if (recent > 2) != self.shedding and recent in (0, 3):
             self.shedding = recent > 2
@@ -506,23 +485,21 @@
     def limit(self, question):
         """The longest expected time to a first token at which a question of this benefit is sent."""
         benefit = question.slip.use_case.benefit / self.best_benefit
-        if self.over_share(question):
+        if self.accounts and self.over_share(question):
             benefit *= question.slip.benefit_share
         if question.sends:
             return max(question.left_to(), 0)
         return min(question.promised * (0.25 + 0.5 * benefit), question.left_to())
 
     def over_share(self, question):
-        if not self.accounts:
-            return False
         index = min(question.slip.account, len(self.seen) - 1)
         span = 2 * FRESH
         recent = sum(1 for at in self.seen[index] if self.now - at < span)
         return recent > 1.3 * self.accounts[index].per_second / self.routers * span / (1000 * MS) + 2
 
     def writer_score(self, writer):
-        far = FAR_ZONE if writer.box.zone != self.zone else 0.0
-        return MEMORY_WEIGHT * writer.figures()[0] + SLOW_WEIGHT * writer.figures()[4] + far
+        load, _, _, _, slowness = writer.figures()
+        return MEMORY_WEIGHT * load + SLOW_WEIGHT * slowness + FAR_ZONE * (writer.box.zone != self.zone)
 
     def ranked(self, question):
         """Writers that may take this question, best first; doubted ones only if no other is left."""
@@ -561,9 +538,8 @@
                     best = (score, took, reader, writer)
         if best is None:
             return None
-        _, took, reader, writer = best
-        rest = [w for w in ranked if w is not writer and w.box.cell == writer.box.cell]
-        return took, reader, [writer] + rest
+        _, took, reader, first = best
+        return took, reader, [first] + [w for w in ranked if w is not first and w.box.cell == first.box.cell]
 
     @staticmethod
     def favoured(slip, readers):
@@ -581,7 +557,7 @@
         self.host, self.clock = host, now
         self.permits, self.lawbook, self.routers = permits, lawbook, routers
         self.chance = Random(seed).random
-        self.due, self.turn = deque(), 0
+        self.due, self.fleet_figures = deque(), {}
         self.workers, self.questions = {}, {}
         self.desk = Desk(self, zone, routers, use_cases, accounts, permits.probes)
         self.ticking = False
@@ -593,7 +569,7 @@
         while self.due:
             actor = self.due.popleft()
             word, figures = actor.inbox.popleft()
-            self.turn += 1
+            actor.turn += 1
             getattr(actor, "on_" + word)(*figures)
 
     def guard(self, question, worker, reads=False, place=False):
@@ -612,6 +588,18 @@
             worker.note("tick", self.permits.probes)
         self.desk.note("serve")
 
+    def fleet(self, worker):
+        """(time per unread token, stream's time, others' tokens, memory share) at the middle or on average
+        of like workers, worked out once a time: what a worker that has not yet reported is taken to have."""
+        at, figures = self.fleet_figures.get(worker.box.role, (None, None))
+        if at != self.clock:
+            like = worker.like()
+            pace = middle([f for w in like for f in w.recent(w.paces)]) or FIRST_PACE
+            figures = (pace, middle([f for w in like for _, f in w.turnover]) or FRESH,
+                       mean([w.others(pace) for w in like]), mean([w.share() for w in like]))
+            self.fleet_figures[worker.box.role] = self.clock, figures
+        return figures
+
     def on_ended(self, slip):
         self.questions.pop(slip, None)
 
@@ -656,3 +644,8 @@
 
 def middle(figures):
     return median(figures) if figures else None
+
+
+def mean(figures):
+    known = [f for f in figures if f is not None]
+    return sum(known) / len(known) if known else 0.0
