--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -33,7 +33,7 @@
 DOUBT_SHARE = 0.34          # of like workers may be doubted for silence alone at once
 SILENT_LEAST = 600 * MS     # shorter silences mean nothing
 SILENT_TIMES = 3            # silent this many times as long as what waits there should take
-COLD_SHARE = 0.6            # of the cold budget is used
+COLD_SHARE = 0.85           # of the cold budget is used
 COLD_RAMP = 0.5             # of an even rise from cold to warm is counted on
 FULL = 0.92                 # memory share past which a writer makes questions wait
 LINE_PART = 0.3             # of the promised time a question may wait for room at the desk
@@ -358,7 +358,7 @@
             self.held_by = send.worker
         if outcome == NO_STATE or (send.worker is self.held_by and outcome in (CUT, NO_ROUTE)):
             self.held_by = None
-        self.closed = self.closed or final
+        self.closed |= final
         if self.closed:
             self.let_go()
         elif self.out:
@@ -375,11 +375,12 @@
         """The state waits: the fixed writer takes it, else the next of its cell on the list."""
         ranked = [w for w in self.router.desk.ranked(self) if w not in self.tried]
         listed = [w for w in self.writers if w in ranked and not w.doubted]
-        if listed and not self.place and listed[0].figures()[1] > FAR_AFTER * self.promised:
-            listed.sort(key=lambda w: w.figures()[1])   # departure: the fixed writer filled up meanwhile
-        rest = [w for w in ranked if w not in listed]   # departure: the list is used up or out of service
-        rest.sort(key=lambda w: w.box.cell != self.held_by.box.cell)
-        if not any(self.send(worker, False) for worker in listed + rest):
+        far = {w: FAR_CELL * self.promised * (w.box.cell != self.held_by.box.cell) for w in ranked}
+        rest = sorted((w for w in ranked if w not in listed), key=far.get)
+        order = listed + rest               # departure: the list is used up or out of service
+        if not self.place and order and order[0].figures()[1] > FAR_AFTER * self.promised:
+            order.sort(key=lambda w: w.figures()[1] + far[w])   # departure: the fixed one filled up meanwhile
+        if not any(self.send(worker, False) for worker in order):
             self.again()
 
     def again(self):
@@ -433,8 +434,7 @@
         self.best_benefit = max((c.benefit for c in use_cases), default=1.0)
         self.first, self.further = deque(), deque()
         self.seen = [deque(maxlen=64) for _ in accounts]
-        self.served = None
-        self.shedding, self.turned = False, deque(maxlen=SAMPLES)
+        self.served, self.shedding, self.turned = None, False, deque(maxlen=SAMPLES)
 
     def on_arrived(self, question):
         if self.accounts:
