--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -40,6 +40,7 @@
 SELF_READ = 0.25            # prompts read within this part of the promised time are short for a mixed one
 UNREAD_WEIGHT = 1.0         # pair score of the reading time itself: what is kept saves readers' work
 SLOW_WEIGHT = 0.5           # pair score of a writer whose streams take twice their promised pace
+CROWD = 0.5                 # of the middle writer's wait counts when the best looks freer: reports are noisy
 LOOKED_AT = 6               # questions of a line looked at in one pass
 
 
@@ -512,6 +513,7 @@
         """(expected time to the first token, reader, writers of its cell best first), or None."""
         slip, scale = question.slip, question.promised
         ranked = self.ranked(question)
+        crowd = CROWD * (middle([w.figures()[1] for w in ranked]) or 0)
         readers = [w for w in self.router.workers.values() if w.reads and w.usable()]
         best = None
         for writer in ranked[:SHORT_LIST]:
@@ -539,6 +541,7 @@
         if best is None:
             return None
         _, took, reader, first = best
+        took += max(0, crowd - CROWD * first.figures()[1])
         return took, reader, [first] + [w for w in ranked if w is not first and w.box.cell == first.box.cell]
 
     @staticmethod
