--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -40,7 +40,7 @@
 SELF_READ = 0.25            # prompts read within this part of the promised time are short for a mixed one
 UNREAD_WEIGHT = 1.0         # pair score of the reading time itself: what is kept saves readers' work
 SLOW_WEIGHT = 0.5           # pair score of a writer whose streams take twice their promised pace
-CROWD = 0.5                 # of the middle writer's wait counts when the best looks freer: reports are noisy
+CROWD = 0.65                # of the middle writer's wait counts when the best looks freer: reports are noisy
 LOOKED_AT = 6               # questions of a line looked at in one pass
 
 
@@ -282,8 +282,7 @@
         self.promised = slip.use_case.promised + slip.use_case.promised_per_k * slip.prompt // 1000
         self.likely = slip.likely_out or slip.most_out // 3
         self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
-        self.held_by = self.place = None
-        self.closed = self.streams = False
+        self.held_by, self.place, self.closed, self.streams = None, None, False, False
 
     def left_to(self):
         return self.leaves - MARGIN - self.now
@@ -397,9 +396,6 @@
         if not self.streams:
             self.close()
 
-    def on_left(self):
-        self.finish()
-
     def close(self):
         """The one ending by our own decision: turned back where that is harmless, else scrapped."""
         if self.closed:
@@ -408,9 +404,9 @@
             self.router.host.turn_back(self.slip, min(self.permits.longest_wait, self.promised // 2))
         else:
             self.router.host.scrap(self.slip)
-        self.finish()
+        self.on_left()
 
-    def finish(self):
+    def on_left(self):
         """Every ending passes here: stop what runs, let go of what is held."""
         self.closed = True
         for send in self.out:
