Give trials their time; one lost connection does not condemn a streaming worker

Cause: every trial was withdrawn by the next tick as a send at a doubted worker, so two readers stayed out for 30 s after one reset each.

--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -84,7 +84,7 @@
         self.starts = deque(maxlen=4 * SAMPLES)
         self.kept = {}                          # session or prefix -> tokens, oldest use first
         self.heard, self.cold_next = self.now, 0
-        self.doubted, self.trial_at, self.strikes = False, 0, 0
+        self.doubted, self.doubted_at, self.trial_at, self.strikes = "", 0, 0, 0
         self.probe_at, self.probing = self.now + int(chance() * PROBE_EVERY), False
         self.streamed = deque(maxlen=SAMPLES)   # (time, stream's time over what its tokens were promised)
         self.turnover = deque(maxlen=SAMPLES)   # (time, stream's time)
@@ -175,7 +175,7 @@
         if born != self.born or (self.state == "gone" and state == "ready"):
             self.kept.clear()
             self.reports.clear()
-            self.doubted, self.strikes = False, 0
+            self.doubted, self.strikes = "", 0
             self.cold_next = self.now
         self.state, self.born = state, born
 
@@ -241,10 +241,12 @@
                 usual = max(usual, self.read_time(0), max(s.expected for s in self.out))
             if quiet > SILENT_LEAST + SILENT_TIMES * usual:
                 self.doubt(f"silent {quiet // MS} ms, usual {usual // MS}")
-        if self.doubted:
-            for send in self.out:
-                if send.first is None:
-                    send.question.note("doubted", send)
+        before = [s for s in self.out if s.start <= self.doubted_at]
+        if self.doubted == CUT and any(s.first for s in before) and now - self.doubted_at >= TICK // 2:
+            self.trust()        # a connection was lost, not the worker: its other streams go on
+        for send in before if self.doubted else ():     # not its trial, which came later
+            if send.first is None:
+                send.question.note("doubted", send)
 
     def remember(self, key, tokens):
         self.kept[key] = max(tokens, self.kept.pop(key, 0))
@@ -255,19 +257,18 @@
         self.heard = self.now
         if self.doubted:
             self.router.host.log(f"worker {self.name} trusted again after {self.strikes} strikes")
-        self.doubted, self.strikes = False, 0
+        self.doubted, self.strikes = "", 0
 
     def doubt(self, why, proved=False):
         """Guards against dead and silent workers. Without proof only a part of like workers may be doubted
         at once: a cut zone, late reports or overload look like silence everywhere, not to condemn all."""
         like = self.like()
         most = len(like) if proved or self.doubted else max(1, DOUBT_SHARE * len(like))
-        if sum(w.doubted for w in like if w is not self) + 1 > most and not proved:
+        if sum(bool(w.doubted) for w in like if w is not self) + 1 > most and not proved:
             return
         if not self.doubted:
             self.router.host.log(f"worker {self.name} doubted: {why}")
-            self.kept.clear()
-        self.doubted = True
+            self.doubted, self.doubted_at = why, self.now
         self.trial_at = self.now + min(TRIAL_MOST, TRIAL_AFTER << min(self.strikes, 6))
         self.strikes += 1
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -221,7 +221,7 @@
     for n in range(9):
         host.ask(session=str(n), prompt=9000)
     host.wait(3 * S)
-    assert sum(w.doubted for w in host.router.workers.values()) <= 1
+    assert sum(bool(w.doubted) for w in host.router.workers.values()) <= 1
 
 
 def test_stranded_writers_are_paired_with_a_reader_of_another_cell():
@@ -276,3 +276,30 @@
         host.ask(session=f"h{n}", case=high)
     host.wait(1 * S)
     assert all(0 < a[2] <= 5000 for a in host.told("turn_back")) and host.told("turn_back")
+
+
+def test_a_trial_is_given_its_time_and_clears_the_worker():
+    host = FakeHost([box(1, "read"), box(2, "write")])
+    lost = host.ask()
+    host.ends(lost, door.CUT)
+    host.wait(700 * MS)
+    trial = host.ask(session="b")
+    assert len(host.told("send", lost)) + len(host.told("send", trial)) == 2
+    tried = trial if host.told("send", trial) else lost
+    host.wait(300 * MS)
+    assert not host.told("withdraw", tried)
+    host.ends(tried, door.READ)
+    assert any("trusted again" in line for line in host.lines)
+
+
+def test_one_lost_connection_does_not_condemn_a_worker_whose_streams_go_on():
+    host = FakeHost([box(1, "read"), box(2, "write")])
+    streaming, lost = host.ask(), host.ask(session="b")
+    for slip in (streaming, lost):
+        read(host, slip)
+    host.first(streaming)
+    host.ends(lost, door.CUT)
+    worker = host.router.workers[host.boxes[1]]
+    assert worker.doubted
+    host.wait(110 * MS)
+    assert not worker.doubted
