--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -73,9 +73,10 @@
 class Worker(Actor):
     """One reader, writer or mixed server: samples, our sends there, health, drain and cold budget."""
 
-    def __init__(self, router, box, lawbook, routers, chance):
+    def __init__(self, router, box, lawbook, routers, probes, chance):
         super().__init__(router)
-        self.box, self.lawbook, self.routers, self.name = box, lawbook, routers, box.mark % 9973
+        self.box, self.lawbook, self.routers, self.probes = box, lawbook, routers, probes
+        self.name = box.mark % 9973
         self.reads, self.writes = box.role != "write", box.role != "read"
         self.state, self.born = box.state, box.born
         self.out, self.reports = [], deque(maxlen=3)
@@ -160,10 +161,11 @@
         return int(1 / (rate * part)) if rate else 2 * law.cold_window
 
     def usable(self):
-        """May be picked now: ready, inside its cold budget, trusted or due for its single trial."""
+        """May be picked now: ready, inside its cold budget, trusted or due for its single trial; where
+        probes are allowed one of them is the trial, and no question is risked."""
         if self.state != "ready" or (self.cold() and self.now < self.cold_next):
             return False
-        return not self.doubted or (self.now >= self.trial_at and not self.out)
+        return not self.doubted or (self.now >= self.trial_at and not self.out and not self.probes)
 
     def kept_tokens(self, slip):
         return max(self.kept.get(slip.session, 0), self.kept.get(slip.prefix, 0) if slip.prefix else 0)
@@ -228,9 +230,9 @@
         elif self.doubted or self.now - self.heard > 2 * PROBE_EVERY:
             self.doubt("probe unanswered")
 
-    def on_tick(self, probes):
+    def on_tick(self):
         now = self.now
-        if probes and self.state == "ready" and not self.probing and now >= self.probe_at:
+        if self.probes and self.state == "ready" and not self.probing and now >= self.probe_at:
             self.probe_at, self.probing = now + PROBE_EVERY, True
             self.router.host.probe(self.box)
         waiting = [s.start for s in self.out if s.first is None]
@@ -426,9 +428,9 @@
 class Desk(Actor):
     """Chooses pairs, keeps the two lines, admits by benefit."""
 
-    def __init__(self, router, zone, routers, use_cases, accounts, probes):
+    def __init__(self, router, zone, routers, use_cases, accounts):
         super().__init__(router)
-        self.zone, self.routers, self.accounts, self.probes = zone, routers, accounts, probes
+        self.zone, self.routers, self.accounts = zone, routers, accounts
         self.best_benefit = max((c.benefit for c in use_cases), default=1.0)
         self.first, self.further = deque(), deque()
         self.seen = [deque(maxlen=64) for _ in accounts]
@@ -531,8 +533,7 @@
                 took = reader.read_time(max(0, unread)) + writer.figures()[1]
                 score = (took + UNREAD_WEIGHT * alone) / scale + self.writer_score(writer) + far
                 score += (reader in question.tried) + (writer in question.tried)
-                if reader.doubted and not question.sends and not self.probes:   # its single trial is due
-                    score -= TRIAL_BONUS
+                score -= TRIAL_BONUS * (reader.doubted > "" and not question.sends)     # its trial is due
                 if best is None or score < best[0]:
                     best = (score, took, reader, writer)
         if best is None:
@@ -559,7 +560,7 @@
         self.chance = Random(seed).random
         self.due, self.fleet_figures = deque(), {}
         self.workers, self.questions = {}, {}
-        self.desk = Desk(self, zone, routers, use_cases, accounts, permits.probes)
+        self.desk = Desk(self, zone, routers, use_cases, accounts)
         self.ticking = False
 
     def tell(self, now, *notes):
@@ -585,7 +586,7 @@
     def on_time_up(self):
         self.host.remind(TICK, self)
         for worker in self.workers.values():
-            worker.note("tick", self.permits.probes)
+            worker.note("tick")
         self.desk.note("serve")
 
     def fleet(self, worker):
@@ -608,7 +609,8 @@
         self.clock = now
         for box in boxes:
             if box not in self.workers:
-                self.workers[box] = Worker(self, box, self.lawbook, self.routers, self.chance)
+                self.workers[box] = Worker(self, box, self.lawbook, self.routers,
+                                           self.permits.probes, self.chance)
         self.tell(now, *[(self.workers[box], "listed", box.state, box.born) for box in boxes])
         if not self.ticking:
             self.ticking = True
