--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -82,14 +82,12 @@
         self.out, self.reports = [], deque(maxlen=3)
         self.waits = deque(maxlen=SAMPLES)      # (time, time to first token) of writes
         self.paces = deque(maxlen=SAMPLES)      # (time, time per unread token) of reads
-        self.starts = deque(maxlen=4 * SAMPLES)
-        self.kept = {}                          # session or prefix -> tokens, oldest use first
-        self.heard, self.cold_next = self.now, 0
+        self.starts, self.kept = deque(maxlen=4 * SAMPLES), {}      # kept: text -> tokens, oldest use first
+        self.heard, self.cold_next, self.worked_out = self.now, 0, (-1, None)
         self.doubted, self.doubted_at, self.trial_at, self.strikes = "", 0, 0, 0
         self.probe_at, self.probing = self.now + int(chance() * PROBE_EVERY), False
         self.streamed = deque(maxlen=SAMPLES)   # (time, stream's time over what its tokens were promised)
         self.turnover = deque(maxlen=SAMPLES)   # (time, stream's time)
-        self.worked_out = (-1, None)
 
     # Figures, worked out when needed
     def like(self):
@@ -168,7 +166,7 @@
         return not self.doubted or (self.now >= self.trial_at and not self.out and not self.probes)
 
     def kept_tokens(self, slip):
-        return max(self.kept.get(slip.session, 0), self.kept.get(slip.prefix, 0) if slip.prefix else 0)
+        return max(self.kept.get(slip.session, 0), self.kept.get(slip.prefix, 0))
 
     # Notes
     def on_listed(self, state, born):
@@ -209,8 +207,7 @@
             if kept < (slip.prompt - send.unread) // 2:     # it forgot what it had kept: so it has for others
                 self.kept.clear()
             self.remember(slip.session, slip.prompt)
-            if slip.prefix:
-                self.remember(slip.prefix, slip.prefix_tokens)
+            self.remember(slip.prefix, slip.prefix_tokens)
         elif outcome in (CUT, NO_ROUTE):
             self.doubt(outcome, True)
         elif outcome == TOO_SLOW:
@@ -327,7 +324,7 @@
         self.out.append(send)
         left = self.left_to()
         if reads:
-            left = min(left, max(self.promised, 4 * send.expected))
+            left = min(left, max(2 * self.promised, 4 * send.expected))
         elif self.slip.use_case.effect != "effectful" and self.sends < self.permits.sends:
             left = min(left, 2 * self.promised)
         self.router.host.send(self.slip, worker.box, left, send)
