Count a missed pace as waiting at admission

Kept: streams let in where all are late make all of them later; may shed too much where length hints are short.

--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -41,6 +41,7 @@
 UNREAD_WEIGHT = 1.0         # pair score of the reading time itself: what is kept saves readers' work
 SLOW_WEIGHT = 0.5           # pair score of a writer whose streams take twice their promised pace
 CROWD = 0.65                # of the middle writer's wait counts when the best looks freer: reports are noisy
+LATE_PACE = 0.5             # of the promised time counts at admission when streams take twice their pace
 LOOKED_AT = 6               # questions of a line looked at in one pass
 
 
@@ -159,8 +160,7 @@
         return int(1 / (rate * part)) if rate else 2 * law.cold_window
 
     def usable(self):
-        """May be picked now: ready, inside its cold budget, trusted or due for its single trial; where
-        probes are allowed one of them is the trial, and no question is risked."""
+        """May be picked: ready, in its cold budget, trusted or due for its trial (where no probe is it)."""
         if self.state != "ready" or (self.cold() and self.now < self.cold_next):
             return False
         return not self.doubted or (self.now >= self.trial_at and not self.out and not self.probes)
@@ -536,7 +536,7 @@
         if best is None:
             return None
         _, took, reader, first = best
-        took += max(0, crowd - CROWD * first.figures()[1])
+        took += max(0, crowd - CROWD * first.figures()[1]) + LATE_PACE * max(0, first.figures()[4]) * scale
         return took, reader, [first] + [w for w in ranked if w is not first and w.box.cell == first.box.cell]
 
     @staticmethod
