--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -146,15 +146,16 @@
         return self.born is not None and self.now - self.born < self.lawbook.cold_for
 
     def bore(self):
-        """Sends of ours a tick that this worker bore at its busiest, among the last ones; 0 = not known."""
-        spans = [self.starts[i + 2 * SAMPLES] - self.starts[i] for i in range(len(self.starts) - 2 * SAMPLES)]
-        return 2 * SAMPLES / max(1, min(spans)) if spans else 0
+        """Sends of ours in a unit of time that this worker bore at its busiest of late; 0 = not known."""
+        count = max(0, min(2 * SAMPLES, len(self.starts) - 1))
+        spans = [self.starts[i + count] - self.starts[i] for i in range(len(self.starts) - count)]
+        return count / max(1, min(spans)) if count >= SAMPLES // 2 else 0
 
     def cold_gap(self):
         """Rule 4: even spacing of our sends to a cold worker, from what like workers bore, also before they
         fell: when all of a kind restart at once no warm one is left to tell, and hardly any would be sent."""
-        rate = middle([r for r in (w.bore() for w in self.like()) if r])
-        law = self.lawbook
+        every, law = self.router.workers.values(), self.lawbook     # those that are gone still tell
+        rate = middle([w.bore() for w in every if w.box.role == self.box.role and w.bore()])
         grown = COLD_RAMP * (1 - law.cold_from) * max(0, self.now - self.born) / law.cold_for
         part = law.cold_multiple * (law.cold_from + grown) * COLD_SHARE
         return int(1 / (rate * part)) if rate else 2 * law.cold_window
@@ -298,8 +299,7 @@
             for s in self.maybe_ran)
 
     def may_turn_back(self):
-        case = self.slip.use_case
-        maybe = self.maybe_ran or any(not s.reads for s in self.out)
+        case, maybe = self.slip.use_case, self.maybe_ran or any(not s.reads for s in self.out)
         return case.effect == "pure" or not maybe or (case.effect == "receipted" and case.group == "all")
 
     # Notes
