--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -486,7 +486,7 @@
             benefit *= question.slip.benefit_share
         if question.sends:
             return max(question.left_to(), 0)
-        return min(question.promised * (0.25 + 0.5 * benefit), question.left_to())
+        return min(question.promised * (0.33 + 0.27 * benefit), question.left_to())
 
     def over_share(self, question):
         index = min(question.slip.account, len(self.seen) - 1)
