--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -308,7 +308,7 @@
             return
         self.writers = list(writers)
         if not self.send(reader, reader is not writers[0]):
-            self.router.desk.note("further", self)      # what allowed it was used up by another since
+            self.router.desk.note("further", self, False)   # used up by another since: not again at once
         elif (self.permits.places and reader is not writers[0]
                 and self.router.guard(self, writers[0], place=True)):
             self.place = writers[0]
@@ -439,8 +439,8 @@
         if not self.offer(question):
             self.first.append(question)
 
-    def on_further(self, question):
-        if self.first or not self.offer(question):
+    def on_further(self, question, at_once=True):
+        if self.first or not at_once or not self.offer(question):
             self.further.append(question)
 
     def offer(self, question):
@@ -500,8 +500,8 @@
 
     def ranked(self, question):
         """Writers that may take this question, best first; doubted ones only if no other is left."""
-        usable = [w for w in self.router.workers.values()
-                  if w.writes and w.usable() and question.may_run_at(w)]
+        every = self.router.workers.values()
+        usable = [w for w in every if w.writes and w.usable() and question.may_run_at(w)]
         sure = [w for w in usable if not w.doubted or question.slip.use_case.effect == "pure"]
         return sorted(sure or usable, key=lambda w: self.writer_score(w) + w.figures()[1] / question.promised)
 
@@ -510,7 +510,7 @@
         slip, scale = question.slip, question.promised
         ranked = self.ranked(question)
         crowd = CROWD * (middle([w.figures()[1] for w in ranked]) or 0)
-        readers = [w for w in self.router.workers.values() if w.reads and w.usable()]
+        readers = [w for w in self.router.workers.values() if w.reads and w.usable() and question.may_run_at(w)]
         best = None
         for writer in ranked[:SHORT_LIST]:
             near = [r for r in readers if r.box.cell == writer.box.cell
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -303,3 +303,18 @@
     assert worker.doubted
     host.wait(110 * MS)
     assert not worker.doubted
+
+
+def test_a_receipted_repeat_whose_only_reader_is_outside_its_group_waits_without_spinning():
+    boxes = [box(1, "read", 0), box(2, "write", 0), box(11, "read", 1), box(12, "write", 1)]
+    host = FakeHost(boxes, effect="receipted", group="cell")
+    slip = host.ask()
+    read(host, slip)
+    used = host.last(slip)[2]
+    for other in boxes:
+        if other.cell == used.cell and other.role == "read":
+            other.state = "gone"
+            host.router.listed(host.now, [other])
+    host.ends(slip, door.FAULT)
+    host.wait(60 * S)
+    assert len(host.told("send", slip)) == 2 and len(host.told("scrap", slip)) == 1
