--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -138,7 +138,8 @@
                 flavor = int(flavor)
                 box = self.boxes[address] = door.Box(
                     mark=zlib.crc32(address.encode()), role=self.roles[min(flavor, len(self.roles) - 1)],
-                    cell=int(cell), zone=int(zone), memory=int(self.memory[flavor]) if flavor < len(self.memory) else 0)
+                    cell=int(cell), zone=int(zone),
+                    memory=int(self.memory[flavor]) if flavor < len(self.memory) else 0)
                 self.ids[box] = address
             box.cell, box.zone = int(cell), int(zone)
             box.weight = 1.0 if weight == "-" else float(weight)
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -507,10 +507,10 @@
 
     def pair(self, question):
         """(expected time to the first token, reader, writers of its cell best first), or None."""
-        slip, scale = question.slip, question.promised
+        slip, scale, every = question.slip, question.promised, self.router.workers.values()
         ranked = self.ranked(question)
         crowd = CROWD * (middle([w.figures()[1] for w in ranked]) or 0)
-        readers = [w for w in self.router.workers.values() if w.reads and w.usable() and question.may_run_at(w)]
+        readers = [w for w in every if w.reads and w.usable() and question.may_run_at(w)]
         best = None
         for writer in ranked[:SHORT_LIST]:
             near = [r for r in readers if r.box.cell == writer.box.cell
