--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -22,7 +22,7 @@
 MISSED_WEIGHT, TRIAL_BONUS = 0.25, 1.0  # pair score of each probe not answered; of a trial due without probes
 FAR_CELL, FAR_AFTER = 0.3, 0.25         # of a reader of another cell, seen when the own ones take this part
 FAR_ZONE, OTHER_ZONE = 0.08, 4  # pair score of another zone, in promised times; times rarer it is drawn
-NEAR_REACH = 1.0                # a cell's readers serve its writers up to this many times their even share
+NEAR_REACH = 1.5                # a cell's readers serve its writers up to this many times their even share
 MEMORY_WEIGHT, SLOW_WEIGHT = 0.6, 0.5   # pair score of a full writer; of one at half the promised pace
 UNREAD_WEIGHT, HELD_TOKENS = 1.0, 300   # pair score of reading time itself; tokens' worth of a question held
 REFUSED_WEIGHT, REFUSED_FOR = 0.5, 20_000 * MS  # pair score where the like was turned away; fading over
@@ -60,7 +60,7 @@
     def figures(self):
         """Worked out once a turn; a worker that told nothing of late has the figures of the average one."""
         now, (at, turn) = self.router.clock, self.worked_out[0]
-        if turn != self.turn or now - at > TICK // 4:
+        if turn != self.turn or now - at > TICK // 2:
             usual = self.router.fleet(self)
             if self.out or now - self.told < FRESH:
                 pace = middle(self.recent(self.paces)) or usual.pace
@@ -154,14 +154,11 @@
             self.paces.append((self.now, (self.now - send.start) / (send.unread + send.ahead + READ_FLOOR)))
         self.trust()
 
-    def on_refused(self, slip):
-        self.refused.append((self.now, slip))
-
     def on_outcome(self, send, outcome, kept, report):
         self.out.remove(send)
         now, slip, took = self.now, send.question.slip, self.now - send.start
         if outcome == NO_ROOM:
-            self.on_refused(slip)
+            self.refused.append((now, slip))
         if outcome == DONE and send.first is not None:
             self.turnover.append((now, now - send.first))
             self.streamed.append((now, (now - send.first) / (send.question.likely * slip.use_case.pace or 1)))
@@ -299,11 +296,9 @@
 
     def on_place(self, worker, held):
         """Not held: the next listed writer, while the read is out; nobody knew that it was full."""
-        if not held:
-            worker.note("refused", self.slip)
-            if self.place is worker:
-                reading = self.out and self.out[0].reads and not self.closed
-                self.hold([w for w in self.writers if reading and w not in self.asked and w.usable()])
+        if not held and self.place is worker:
+            reading = self.out and self.out[0].reads and not self.closed
+            self.hold([w for w in self.writers if reading and w not in self.asked and w.usable()])
 
     def on_first(self, send):
         if self.held_by and self.held_by.box.cell != send.worker.box.cell:
@@ -440,10 +435,11 @@
         return True
 
     def on_serve(self):
-        if self.now - self.served < TICK // 2 or not (self.first or self.further or self.shedding):
+        if self.now - self.served < min(TICK, self.routers * MS) or not (
+                self.first or self.further or self.shedding):
             return
-        room = True     # until one finds none: a pass costs as much as the line is long otherwise
         for line in (self.first, self.further):
+            room = True     # until one finds none: a pass costs as much as the line is long otherwise
             for question in sorted(line, key=lambda q: -q.slip.use_case.benefit):
                 if question.closed or (room and self.offer(question)):
                     line.remove(question)
@@ -452,8 +448,7 @@
                     question.note("time_up")
                     self.turned.append(self.now)
                 elif self.now >= question.look_until:
-                    room = False
-        self.served = self.served if room else self.now
+                    room, self.served = False, self.now
         recent = sum(self.now - at < FRESH // 2 for at in self.turned)
         if (recent > 2) != self.shedding and recent in (0, 3):
             self.shedding = recent > 2
@@ -596,8 +591,9 @@
         if self.clock - at >= TICK:
             like = [w for w in self.roster.like(worker) if self.clock - w.told < FRESH]
             pace = middle([f for w in like for f in w.recent(w.paces)]) or FIRST_PACE
-            figures = Figures(mean([w.share() for w in like]),
-                              middle([f for w in like for f in w.recent(w.waits)]) or 0, pace,
+            waits = [f for w in like for f in w.recent(w.waits)]    # a few tell little of all the others
+            wait = (middle(waits) or 0) * len(waits) / (len(waits) + SAMPLES)
+            figures = Figures(mean([w.share() for w in like]), wait, pace,
                               mean([w.others(pace) for w in like]), 0.0,
                               middle([f for w in like for _, f in w.turnover]) or FRESH)
             self.fleet_figures[worker.box.role] = self.clock, figures
