--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -500,11 +500,13 @@
         lots, weighed, best = lots_of(slip, readers), {}, None
         for writer in ranked[:SHORT_LIST]:
             near, other, short = self.around(slip, writer, readers, lots)
+            cell = writer.box.cell
             own = self.writer_score(writer, question) + (writer in question.tried)
             soonest = scale
+            across = crossing if short else max(FAR_CELL, crossing)
             for far, favourite, reader in [(short * FAR_CELL, not i, r) for i, r in enumerate(near)] + [
-                    (0, False, writer)] * writer.reads + [(crossing, not i, r) for i, r in enumerate(other)]:
-                if far == crossing and not short and soonest <= FAR_AFTER * scale:
+                    (0, False, writer)] * writer.reads + [(across, not i, r) for i, r in enumerate(other)]:
+                if reader.box.cell != cell and not short and soonest <= FAR_AFTER * scale:
                     break       # else a departure: its cell's readers are gone, few or far behind
                 key = reader, favourite, favourite and writer is drawn[0]
                 if key not in weighed:
