--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -435,7 +435,7 @@
         return True
 
     def on_serve(self):
-        if self.now - self.served < min(TICK, self.routers * MS) or not (
+        if self.now - self.served < min(2 * TICK, 2 * self.routers * MS) or not (
                 self.first or self.further or self.shedding):
             return
         for line in (self.first, self.further):
