List like workers once per list change; look figures up once per reading time

Work on the hot path done again for nothing: the roster filtered all workers at each call of like, read_time asked for figures twice.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -62,11 +62,12 @@
     """
 
     def __init__(self, workers):
-        self.ready = [w for w in workers if w.state == "ready"]
-        self.readers = [w for w in self.ready if w.box.role == "read"]
-        self.writers = [w for w in self.ready if w.writes]
+        ready, self.by_role = [w for w in workers if w.state == "ready"], {}
+        for worker in ready:
+            self.by_role.setdefault(worker.box.role, []).append(worker)
+        self.readers, self.writers = self.by_role.get("read", []), [w for w in ready if w.writes]
         weight = [{}, {}]
-        for worker in self.ready:
+        for worker in ready:
             part = weight[worker.writes]
             part[worker.box.cell] = part.get(worker.box.cell, 0) + worker.box.weight
         read, write = (sum(part.values()) or 1 for part in weight)
@@ -74,7 +75,7 @@
                       for cell in {**weight[0], **weight[1]}}
 
     def like(self, worker):
-        return [w for w in self.ready if w.box.role == worker.box.role]
+        return self.by_role.get(worker.box.role, [])
 
 
 def lot(key, worker, bare=False):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -77,7 +77,8 @@
         return self.worked_out[1]
 
     def read_time(self, unread):
-        return int((unread + self.figures().ahead + READ_FLOOR) * self.figures().pace)
+        figures = self.figures()
+        return int((unread + figures.ahead + READ_FLOOR) * figures.pace)
 
     def ours(self, reads):
         out = [s for s in self.out if s.reads == reads or self.box.role == "both"]
