--- /dev/null
+++ b/ramppulley/check/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers of the rules, from what crossed the sockets."""
--- /dev/null
+++ b/ramppulley/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/ramppulley/cli/main.py
@@ -0,0 +1,105 @@
+"""`./rp`: up, serve, check, day, bench, test."""
+import asyncio
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Annotated, Optional
+
+import typer
+import uvloop
+
+from ramppulley.daemon import json5
+from ramppulley.daemon.daemon import Daemon, logs
+from ramppulley.daemon.orders import Orders
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, help="A router for language-model serving.",
+                  pretty_exceptions_enable=False)
+
+
+def fail(text):
+    typer.echo(text, err=True)
+    raise typer.Exit(2)
+
+
+def orders_of(path):
+    try:
+        return json5.read(path, Orders)
+    except OSError as fault:
+        fail(f"{path}: {fault.strerror}")
+    except json5.BadFile as fault:
+        fail(str(fault))
+
+
+async def until_told(seconds=None):
+    """Waits for SIGINT or SIGTERM, or so long."""
+    loop, told = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, told.set)
+    try:
+        await asyncio.wait_for(told.wait(), seconds)
+    except TimeoutError:
+        pass
+
+
+async def run(daemon, seconds=None):
+    try:
+        await daemon.start()
+    except (OSError, json5.BadFile) as fault:
+        fail(str(fault))
+    typer.echo(f"ready http://127.0.0.1:{daemon.front.port}")
+    sys.stdout.flush()
+    await until_told(seconds)
+    await daemon.stop()
+
+
+@app.command()
+def serve(settings: Path):
+    """Run the router alone, by a settings file."""
+    orders = orders_of(settings)
+    uvloop.run(run(Daemon(orders, logs(orders.log), settings.parent)))
+
+
+@app.command()
+def check(settings: Path):
+    """Check a settings file, and the list of workers that it names if that is there."""
+    from ramppulley.fleet.listing import Listing
+    orders = orders_of(settings)
+    listing = settings.parent / orders.workers.file
+    if listing.exists():
+        try:
+            count = len(json5.read(listing, Listing).workers)
+        except json5.BadFile as fault:
+            fail(str(fault))
+        typer.echo(f"{listing}: {count} workers")
+    typer.echo(f"{settings}: good")
+
+
+@app.command()
+def up(port: Annotated[int, typer.Option(help="0 = any free one")] = 8080,
+       for_: Annotated[Optional[float], typer.Option("--for", help="seconds; else until told to stop")] = None):
+    """Run a stand-in fleet and the router in the foreground."""
+    from ramppulley.standin.demo import demo_fleet, demo_orders
+
+    async def both():
+        with tempfile.TemporaryDirectory(prefix="rp-") as folder:
+            fleet = await demo_fleet(Path(folder) / "workers.json5").start()
+            orders = demo_orders(port)
+            try:
+                await run(Daemon(orders, logs("console"), folder), for_)
+            finally:
+                await fleet.stop()
+    uvloop.run(both())
+
+
+@app.command(context_settings={"allow_extra_args": True, "ignore_unknown_options": True})
+def test(context: typer.Context):
+    """Lint, check the floors, and run all tests; more arguments go to pytest."""
+    root = Path(__file__).parents[2]
+    steps = [["ruff", "check", "."], ["lint-imports"], ["pytest", *context.args]]
+    for step in steps if not context.args else steps[-1:]:
+        done = subprocess.run([sys.executable, "-m", *step] if step[0] != "lint-imports"
+                              else [str(Path(sys.executable).parent / step[0])], cwd=root)
+        if done.returncode:
+            raise typer.Exit(done.returncode)
--- /dev/null
+++ b/ramppulley/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The program: reads its orders, wires the parts together, starts and stops them."""
--- /dev/null
+++ b/ramppulley/daemon/daemon.py
@@ -0,0 +1,110 @@
+"""Wires the parts of one router together; the only place that knows them all."""
+import asyncio
+import os
+import sys
+import time
+from pathlib import Path
+from zlib import crc32
+
+import structlog
+
+from ramppulley import door
+from ramppulley.daemon import json5
+from ramppulley.engines.openai import OpenAIEngines
+from ramppulley.fleet.listing import Fleet
+from ramppulley.fleet.watch import Watcher
+from ramppulley.fronts.http.server import HttpFront
+from ramppulley.rules import Router
+from ramppulley.service.clock import LoopClock
+from ramppulley.service.core import Core
+from ramppulley.service.estimate import Estimator
+from ramppulley.service.naming import Naming
+from ramppulley.service.record import Book
+from ramppulley.service.switchboard import Switchboard
+
+
+def logs(form, stream=None):
+    """Structured logs on standard error: for people, or JSON lines."""
+    last = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.format_exc_info, last],
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr))
+    return structlog.get_logger()
+
+
+class Daemon:
+    """One router. `make` builds the decision module of a pool; baselines and broken ones come in here."""
+
+    def __init__(self, orders, log, base=".", make=Router):
+        self.orders, self.log, self.base, self.make = orders, log, Path(base), make
+        self.fleet, self.front = Fleet(), None
+
+    async def start(self):
+        """Raises OSError (port taken, no such file) or BadFile before anything runs."""
+        orders, loop = self.orders, asyncio.get_running_loop()
+        self.clock, estimator = LoopClock(loop), Estimator()
+        self.book = Book(self.base / orders.record if orders.record else None)
+        self.engines = OpenAIEngines(self.log, frozenset(orders.engines.full_statuses), orders.engines.connections,
+                                     orders.engines.idle_s, orders.engines.connect_s, orders.engines.load)
+        cases = {name: case.of_door() for name, case in orders.use_cases.items()}
+        accounts = {name: i for i, name in enumerate(orders.accounts)}
+        cores = {pool: Core(pool, self._maker(i, cases), self.engines, self.clock, cases, accounts, self.book,
+                            self.log, estimator, self.fleet.name_of) for i, pool in enumerate(orders.pools)}
+        naming = Naming(frozenset(cases), **orders.naming.model_dump(), keys={
+            key: name for name, account in orders.accounts.items() for key in account.keys})
+        self.board = Switchboard(cores, orders.routes(), naming, self.book, f"{orders.name}-", orders.questions_most)
+        self.watcher = Watcher(self.base / orders.workers.file, json5.read, self._listed, self.log,
+                               orders.workers.every_s)
+        self.watcher.look()
+        listen = orders.listen
+        self.front = HttpFront(self.board, self.log, host=listen.host, port=listen.port,
+                               body_most=listen.body_most_bytes, connections=listen.connections, idle=listen.idle_s,
+                               slow=listen.slow_s).start()
+        self.watcher.start()
+        self._tidying = loop.create_task(self._tidy())
+        self.log.info("router ready", name=orders.name, port=self.front.port, pid=os.getpid(),
+                      workers=len(self.fleet.boxes))
+        return self
+
+    def _maker(self, number, cases):
+        orders = self.orders
+        permits = door.Permits(sends=orders.permits.sends, probes=orders.engines.load == "probe",
+                               places=orders.permits.places, longest_wait=int(orders.permits.longest_wait_s * 10_000))
+
+        def make(host, now):
+            return self.make(host, seed=orders.seed * 1000 + number, routers=orders.routers,
+                             zone=crc32(orders.zone.encode()), use_cases=list(cases.values()),
+                             accounts=[door.Account(a.per_second) for a in orders.accounts.values()],
+                             permits=permits, lawbook=orders.rules.of_door(), now=now)
+        return make
+
+    def _listed(self, entries):
+        unknown = sorted({e.pool for e in entries} - set(self.orders.pools))
+        if unknown:
+            self.log.warning("workers of pools that the orders do not name are passed over", pools=unknown)
+        changed = self.fleet.update([e for e in entries if e.pool in self.orders.pools], self.clock.now(), time.time())
+        for pool, core in self.board.cores.items():
+            boxes = [(box, address) for where, box, address in changed if where == pool]
+            for box, address in boxes:
+                self.engines.know(box, address)
+            if boxes:
+                core.listed([box for box, _ in boxes])
+
+    async def _tidy(self):
+        while True:
+            await asyncio.sleep(1.0)
+            self.engines.tidy()
+
+    async def stop(self):
+        """Takes no more; what it has taken is answered, within the orders' time."""
+        if self.front is None:
+            return
+        self.log.info("router stops", pending=self.board.pending())
+        await self.front.stop(self.orders.stop_within_s)
+        self._tidying.cancel()
+        await asyncio.gather(self._tidying, return_exceptions=True)
+        await self.watcher.stop()
+        await self.engines.close()
+        self.book.close()
+        self.log.info("router stopped")
--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -278,7 +278,7 @@
     """Answers batch after batch until the source ends."""
     routers = {}
     lines = (line.rstrip("\r\n") for line in source)
-    for number, line in enumerate(lines, 1):
+    for line in lines:
         if not line:
             continue
         if not line.startswith("BATCH "):
--- /dev/null
+++ b/ramppulley/engines/openai.py
@@ -0,0 +1,332 @@
+"""The connector for OpenAI-compatible engines with vLLM's read/write split by `kv_transfer_params`.
+
+A read asks for one token with `do_remote_decode`; its answer names the waiting state, which the write hands on with
+`do_remote_prefill`. Writes are always asked for as a stream, so that the first token is seen. One-stage questions are one
+POST. Letting go (`POST /kv/release`) and holding ahead (`POST /kv/hold`) are extensions that an engine announces by the
+header `kv-extensions` on any answer; without them a state ends by the engine's own time-out and no place is held.
+"""
+import asyncio
+
+import msgspec
+
+from ramppulley import door
+from ramppulley.engines import proof
+from ramppulley.engines.connections import Connections
+from ramppulley.engines.reports import FORMAT_HEADER, HEADER, of_metrics, of_orca
+from ramppulley.service.clock import TENTHS
+from ramppulley.service.neutral import CHAT, COMPLETION, EMBEDDINGS, ONE_STAGE, RERANK, End, Usage
+from ramppulley.wire import http, sse
+from ramppulley.wire.faults import BadMessage
+
+PATHS = {CHAT: "/v1/chat/completions", COMPLETION: "/v1/completions", EMBEDDINGS: "/v1/embeddings",
+         RERANK: "/v1/rerank"}
+ANSWER_MOST = 64 << 20          # bytes of an answer that comes whole
+QUIET = 120.0                   # seconds without a byte of a stream that has begun
+EXTENSIONS = "kv-extensions"
+
+
+def split_params(reads, state):
+    """The `kv_transfer_params` of a send; None for one that neither leaves nor takes a state."""
+    if reads:
+        return {"do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None,
+                "remote_block_ids": None, "remote_host": None, "remote_port": None}
+    return state
+
+
+def usage_of(told):
+    """The usage object of an answer, or None where it tells nothing usable."""
+    if not isinstance(told, dict):
+        return None
+    details = told.get("prompt_tokens_details")
+    figures = [told.get("prompt_tokens"), told.get("total_tokens"), told.get("completion_tokens"),
+               details.get("cached_tokens") if isinstance(details, dict) else None]
+    prompt, total, written, cached = (f if isinstance(f, int) and f >= 0 else 0 for f in figures)
+    return Usage(prompt or total, cached, written)
+
+
+def _extend(limit):
+    """The send's time-out ends with its first token; from then on only a long quiet ends it."""
+    try:
+        limit.reschedule(asyncio.get_running_loop().time() + QUIET)
+    except RuntimeError:
+        pass                    # it ran out in this very turn: the cancel is under way
+
+
+class _Over(Exception):
+    """Carries the End of a send out of its stages."""
+
+    def __init__(self, end):
+        super().__init__(end.why)
+        self.end = end
+
+
+class Worker:
+    """What the connector keeps for one worker."""
+
+    def __init__(self, address, most, idle):
+        self.address, self.extensions = address, frozenset()
+        self.connections = Connections(*address, most, idle)
+
+
+class OpenAIEngines:
+    """All workers of all pools, by their boxes. `full`: statuses that prove that a question was not taken."""
+
+    def __init__(self, log, full=(429, 503), most=512, idle=10.0, connect_within=1.0, load="answers"):
+        self.log, self.full, self.most, self.idle = log, full, most, idle
+        self.connect_within, self.load = connect_within, load
+        self.workers, self.tasks = {}, set()
+
+    def know(self, box, address):
+        """A worker's address; a change of it drops the old connections."""
+        worker = self.workers.get(box)
+        if worker is None or worker.address != address:
+            if worker:
+                worker.connections.close()
+            self.workers[box] = Worker(address, self.most, self.idle)
+
+    def tidy(self):
+        for worker in self.workers.values():
+            worker.connections.tidy()
+
+    async def close(self):
+        for task in set(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for worker in self.workers.values():
+            worker.connections.close()
+
+    def _task(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    # Connector
+    def start(self, core, out):
+        out.stage = proof.CONNECT
+        out.task = self._task(self._send(core, out))
+        out.task.add_done_callback(lambda task: core.ended(out, self._end_of(out, task)))
+
+    def withdraw(self, out):
+        out.task.cancel()
+
+    def hold(self, core, life, box):
+        async def ask():
+            held = False
+            if "hold" in self.workers[box].extensions:
+                status, _, _ = await self._call(box, "POST", "/kv/hold", msgspec.json.encode(
+                    {"request_id": life.ask.name, "prompt_tokens": life.slip.prompt}))
+                held = status == 200
+            core.placed(life, box, held)
+        self._task(self._guarded(ask(), lambda: core.placed(life, box, False)))
+
+    def let_go(self, life, box, state):
+        if "release" not in self.workers[box].extensions:
+            return
+        what = {"request_id": life.ask.name}
+        if state is not None:
+            what |= {"remote_engine_id": state.get("remote_engine_id"),
+                     "remote_block_ids": state.get("remote_block_ids")}
+        self._task(self._guarded(self._call(box, "POST", "/kv/release", msgspec.json.encode(what)), lambda: None))
+
+    def probe(self, core, box):
+        async def ask():
+            status, _, body = await self._call(box, "GET", "/metrics")
+            report = of_metrics(body.decode("utf-8", "replace")) if status == 200 else None
+            core.probed(box, door.DONE if status == 200 else door.FAULT, report)
+        self._task(self._guarded(ask(), lambda: core.probed(box, door.NO_ROUTE, None)))
+
+    # Inside
+    async def _guarded(self, asking, failed):
+        try:
+            async with asyncio.timeout(self.connect_within):
+                await asking
+        except (OSError, TimeoutError, BadMessage):
+            failed()
+
+    async def _call(self, box, method, path, body=b""):
+        """One small exchange beside the questions: (status, headers, body)."""
+        connections = self.workers[box].connections
+        wire = await connections.get(self.connect_within)
+        parser = http.AnswerParser(1 << 20)
+        try:
+            await wire.send(http.request(method, path, {
+                "host": f"{connections.host}:{connections.port}", "content-type": "application/json"}, body))
+            while not parser.done:
+                data = await wire.receive()
+                if not data:
+                    raise BadMessage("the connection ended")
+                parser.feed(data)
+        except BaseException:
+            connections.drop(wire)
+            raise
+        (connections.put if parser.keep_alive else connections.drop)(wire)
+        return parser.status, parser.headers, parser.take()
+
+    def _end_of(self, out, task):
+        if task.cancelled():
+            return End(proof.of(out.stage, proof.WITHDRAWN), "withdrawn")
+        fault = task.exception()
+        if fault is not None:           # ours; as we cannot tell how far it came, it may have run
+            self.log.error("connector fault", error=repr(fault))
+            return End(door.FAULT, f"a fault in the router: {fault!r}")
+        return task.result()
+
+    def _request(self, out, connections):
+        ask, body = out.life.ask, dict(out.life.ask.body)
+        if ask.kind in (CHAT, COMPLETION):
+            params = split_params(out.reads, out.state)
+            if params is not None:
+                body["kv_transfer_params"] = params
+            if out.reads:
+                body |= {"stream": False, "max_tokens": 1}
+                body.pop("stream_options", None)
+                if "max_completion_tokens" in body:
+                    body["max_completion_tokens"] = 1
+                if body.get("min_tokens"):
+                    body["min_tokens"] = 1
+            else:
+                body |= {"stream": True,
+                         "stream_options": {**(body.get("stream_options") or {}), "include_usage": True}}
+        headers = {"host": f"{connections.host}:{connections.port}", "content-type": "application/json",
+                   "x-request-id": f"{ask.name}-s{out.number}"}
+        if self.load == "answers":
+            headers[FORMAT_HEADER] = "TEXT"
+        if ask.receipt:
+            headers["idempotency-key"] = ask.receipt
+        return http.request("POST", PATHS[ask.kind], headers, msgspec.json.encode(body))
+
+    async def _send(self, core, out):
+        """One send from handshake to its End; never raises but for our own faults and cancelling."""
+        connections = self.workers[out.box].connections
+        loop, wire, whole = asyncio.get_running_loop(), None, False
+        try:
+            async with asyncio.timeout_at(loop.time() + out.time_out / TENTHS) as limit:
+                wire = await connections.get(min(self.connect_within, out.time_out / TENTHS))
+                request = self._request(out, connections)
+                out.stage = proof.WRITE
+                await wire.send(request)
+                out.stage = proof.WAIT
+                end, whole = await self._answer(core, out, wire, limit)
+                return end
+        except _Over as over:
+            return over.end
+        except BadMessage as fault:
+            return End(proof.of(max(out.stage, proof.WAIT, key=_ORDER.index), proof.GARBLED), str(fault))
+        except TimeoutError:
+            return End(proof.of(out.stage, proof.TIMED_OUT), f"timed out, {out.stage}")
+        except OSError as fault:
+            return End(proof.of(out.stage, proof.LOST), f"{out.stage}: {fault.strerror or fault}")
+        finally:
+            if wire is not None:
+                (connections.put if whole else connections.drop)(wire)
+
+    async def _answer(self, core, out, wire, limit):
+        """(End, whether the connection may be used again)."""
+        parser, streams, report = http.AnswerParser(ANSWER_MOST), None, None
+        worker = self.workers[out.box]
+        while not parser.done:
+            if streams is not None and out.first is not None:
+                _extend(limit)
+            data = await wire.receive()
+            if not data:
+                raise _Over(End(proof.of(out.stage, proof.LOST), f"{out.stage}: the connection ended",
+                                streams.report if streams else None))
+            parser.feed(data)
+            if parser.status and out.stage == proof.WAIT:
+                out.stage = proof.ANSWER
+                if EXTENSIONS in parser.headers:
+                    worker.extensions = frozenset(parser.headers[EXTENSIONS].replace(",", " ").split())
+                report = of_orca(parser.headers.get(HEADER))
+                if parser.status == 200 and parser.headers.get("content-type", "").startswith("text/event-stream"):
+                    streams = _Stream(core, out, report)
+            if streams:
+                await streams.feed(parser.take(), limit)
+        if streams:
+            return streams.end(), parser.keep_alive
+        return self._whole(out, parser, report), parser.keep_alive
+
+    def _whole(self, out, parser, report):
+        """An answer that came in one piece: a read's, a one-stage one's, or a refusal."""
+        body, ask = parser.take(), out.life.ask
+        try:
+            told = msgspec.json.decode(body)
+        except msgspec.DecodeError as fault:
+            if parser.status in self.full:      # the status alone is the proof
+                return End(door.NO_ROOM, f"status {parser.status}", report)
+            if parser.status != 200:
+                return End(door.FAULT, f"status {parser.status}", report)
+            raise BadMessage(f"not JSON: {fault}") from fault
+        error = told.get("error", told) if isinstance(told, dict) else {}
+        code = str(error.get("code", "")) if isinstance(error, dict) else ""
+        outcome = proof.of_status(parser.status, code, self.full, out.reads)
+        if outcome is not None:
+            return End(outcome, f"status {parser.status} {code}".strip(), report)
+        if parser.status == 200:
+            if not isinstance(told, dict):
+                raise BadMessage("the answer is no object")
+            usage = usage_of(told.get("usage"))
+            if out.reads:
+                state = told.get("kv_transfer_params")
+                if not isinstance(state, dict) or not state.get("do_remote_prefill"):
+                    raise BadMessage("a read without kv_transfer_params")
+                return End(door.READ, "", report, usage, state)
+            if ask.kind not in ONE_STAGE:
+                raise BadMessage("a stream was asked for")
+            if not isinstance(told.get("data" if ask.kind == EMBEDDINGS else "results"), list):
+                raise BadMessage("an answer without its list")
+        else:
+            usage = None
+        return End(door.DONE, "" if parser.status == 200 else f"status {parser.status}", report, usage,
+                   status=parser.status, body=body)
+
+
+_ORDER = [proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER]
+
+
+class _Stream:
+    """A stream of events from a writer: each whole event goes on at once, then the next bytes are read."""
+
+    def __init__(self, core, out, report):
+        self.core, self.out, self.report = core, out, report
+        self.splitter, self.usage, self.done = sse.Splitter(), None, False
+
+    async def feed(self, data, limit):
+        for event in self.splitter.feed(data):
+            if self.done:
+                raise BadMessage("an event after [DONE]")
+            if event == sse.DONE:
+                self.done = True
+                continue
+            if event.startswith(b'{"error"'):
+                raise _Over(End(door.FAULT, f"an error event: {event[:200].decode('utf-8', 'replace')}", self.report))
+            only_usage = False
+            if b'"usage":{' in event or b'"usage": {' in event or not event.startswith(b"{"):
+                only_usage = self._usage(event)
+            if self.out.first is None and not only_usage:
+                if not self.core.first(self.out):
+                    raise _Over(End(door.UNDONE, "answered already", self.report))
+                _extend(limit)
+            if not only_usage or self.out.life.ask.with_usage:
+                try:
+                    await self.out.life.sink.piece(event)
+                except OSError:
+                    raise _Over(End(door.UNDONE, "the client left", self.report)) from None
+
+    def _usage(self, event):
+        """Whether the event is nothing but the usage, which goes on only if the client asked for it."""
+        try:
+            told = msgspec.json.decode(event)
+        except msgspec.DecodeError as fault:
+            raise BadMessage(f"an event that is not JSON: {fault}") from fault
+        if not isinstance(told, dict):
+            raise BadMessage("an event that is no object")
+        self.usage = usage_of(told.get("usage")) or self.usage
+        return told.get("choices") == []
+
+    def end(self):
+        if not self.done:
+            return End(door.CUT, "the stream ended without [DONE]", self.report, self.usage)
+        if self.out.first is None:
+            return End(door.FAULT, "a stream without a token", self.report, self.usage)
+        return End(door.DONE, "", self.report, self.usage)
--- /dev/null
+++ b/ramppulley/fleet/listing.py
@@ -0,0 +1,103 @@
+"""The list as data: entries checked, and compared with what was known. Pure; the file is read by `fleet.watch`."""
+from typing import Literal
+from urllib.parse import urlsplit
+from zlib import crc32
+
+from pydantic import BaseModel, ConfigDict, Field, field_validator
+
+from ramppulley import door
+
+TENTHS = 10_000
+
+
+class Entry(BaseModel):
+    """One worker. `started`: seconds since 1970 of its process's start; absent = long ago."""
+    model_config = ConfigDict(extra="forbid", frozen=True)
+    name: str = Field(min_length=1, max_length=128)
+    url: str
+    pool: str
+    role: Literal["read", "write", "both", "pool"]
+    cell: str = ""
+    zone: str = ""
+    weight: float = Field(1.0, gt=0, le=1000)
+    memory_tokens: int = Field(0, ge=0)
+    state: Literal["ready", "draining"] = "ready"
+    started: float | None = None
+
+    @field_validator("url")
+    @classmethod
+    def _url(cls, value):
+        parts = urlsplit(value)
+        if parts.scheme != "http" or not parts.hostname or not parts.port:
+            raise ValueError("must look like http://HOST:PORT")
+        return value
+
+    @property
+    def address(self):
+        parts = urlsplit(self.url)
+        return parts.hostname, parts.port
+
+
+class Listing(BaseModel):
+    """The whole file."""
+    model_config = ConfigDict(extra="forbid")
+    workers: list[Entry]
+
+    @field_validator("workers")
+    @classmethod
+    def _unique(cls, value):
+        seen = set()
+        for entry in value:
+            if entry.name in seen:
+                raise ValueError(f"two workers are named {entry.name!r}")
+            seen.add(entry.name)
+        return value
+
+
+class Fleet:
+    """Boxes by name; `update` brings them to a new list and tells what changed, by pool."""
+
+    def __init__(self):
+        self.boxes, self.entries = {}, {}
+
+    def name_of(self, box):
+        return self.names[box] if box in self.names else "?"
+
+    @property
+    def names(self):
+        return {box: name for name, box in self.boxes.items()}
+
+    def update(self, entries, now, wall):
+        """`now`: the router's clock; `wall`: seconds since 1970 at that moment. Returns [(pool, box, address)].
+
+        A worker that is not listed any more is gone; one that moved to another pool is a new worker there.
+        """
+        changed, listed = [], set()
+        for entry in entries:
+            listed.add(entry.name)
+            old = self.entries.get(entry.name)
+            if old is not None and (old.pool, old.role) != (entry.pool, entry.role):
+                box = self.boxes.pop(entry.name)
+                box.state = "gone"
+                changed.append((old.pool, box, old.address))
+                old = None
+            if entry == old and self.boxes[entry.name].state == entry.state:
+                continue
+            box = self.boxes.get(entry.name)
+            if box is None:
+                box = self.boxes[entry.name] = door.Box(
+                    mark=crc32(entry.name.encode()), role="both" if entry.role == "pool" else entry.role,
+                    cell=0, zone=0, memory=0)
+            box.cell, box.zone = crc32(entry.cell.encode()), crc32(entry.zone.encode())
+            box.memory, box.weight, box.state = entry.memory_tokens, entry.weight, entry.state
+            if old is None or old.started != entry.started:
+                born = None if entry.started is None else now - int(max(0.0, wall - entry.started) * TENTHS)
+                box.born = born if born is None else born or -1
+            self.entries[entry.name] = entry
+            changed.append((entry.pool, box, entry.address))
+        for name, entry in self.entries.items():
+            box = self.boxes.get(name)
+            if name not in listed and box is not None and box.state != "gone":
+                box.state = "gone"
+                changed.append((entry.pool, box, entry.address))
+        return changed
--- /dev/null
+++ b/ramppulley/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Clients in: each front parses, validates and makes one neutral question; none of them decides."""
--- /dev/null
+++ b/ramppulley/fronts/http/server.py
@@ -0,0 +1,264 @@
+"""The front's connections: requests in, neutral questions to the core, answers out.
+
+One task reads a connection's requests one by one; while a question is in the router the same task watches the socket, so
+that a client that leaves is noticed at every stage. Pipelined bytes wait, at most one buffer of them.
+"""
+import asyncio
+import itertools
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from ramppulley.fronts.http import answers, bodies
+from ramppulley.fronts.http.gather import Gatherer
+from ramppulley.service import naming as names
+from ramppulley.service.neutral import (CHAT, COMPLETION, EMBEDDINGS, FULFILLED, LEFT, ONE_STAGE, RERANK, Ask)
+from ramppulley.wire import http, sse
+from ramppulley.wire.faults import BadMessage
+from ramppulley.wire.sockets import Listener
+
+ROUTES = {"/v1/chat/completions": CHAT, "/v1/completions": COMPLETION, "/v1/embeddings": EMBEDDINGS,
+          "/v1/rerank": RERANK, "/rerank": RERANK, "/v2/rerank": RERANK}
+
+
+class Sink:
+    """One question's side of a connection."""
+
+    def __init__(self, wire, ask, slow):
+        self.wire, self.ask, self.slow = wire, ask, slow
+        self.done = asyncio.get_running_loop().create_future()
+        self.begun, self.busy = False, False
+        self.gatherer = None if ask.stream or ask.kind in ONE_STAGE else Gatherer(ask.kind)
+
+    async def piece(self, data):
+        if self.gatherer:
+            try:
+                self.gatherer.add(data)
+            except (msgspec.DecodeError, AttributeError, TypeError) as fault:
+                raise BadMessage(f"an event that cannot be read: {fault}") from fault
+            return
+        out = http.chunk(sse.event(data))
+        if not self.begun:
+            self.begun = True
+            out = http.answer_head(200, {
+                "content-type": "text/event-stream; charset=utf-8", "cache-control": "no-cache",
+                "x-request-id": self.ask.name}) + out
+        self.busy = True
+        async with asyncio.timeout(self.slow):      # a client that reads nothing for so long has left
+            await self.wire.send(out)
+        self.busy = False
+
+    def final(self, ending):
+        if not self.done.done():
+            self.done.set_result(ending)
+
+
+class _Connection:
+    """One client's socket: its parser, and the receive that is under way, which outlives a question."""
+
+    def __init__(self, wire, parser):
+        self.wire, self.parser, self.watch = wire, parser, None
+
+    def watched(self):
+        self.watch = self.watch or asyncio.get_running_loop().create_task(self.wire.receive())
+        return self.watch
+
+    def taken(self):
+        """What the finished receive brought; b"" also for a reset."""
+        watch, self.watch = self.watch, None
+        return b"" if watch.exception() else watch.result()
+
+
+class HttpFront:
+    """Serves the API for a `switchboard`: it knows the pools by model and kind, and takes questions."""
+
+    def __init__(self, switchboard, log, *, host="127.0.0.1", port=0, body_most=8 << 20, connections=10_000, idle=75.0,
+                 slow=20.0):
+        self.board, self.log, self.body_most, self.idle, self.slow = switchboard, log, body_most, idle, slow
+        self.listener = Listener(self._serve, host, port, connections)
+        self.serial, self.stopping, self.at_rest = itertools.count(), False, set()
+
+    @property
+    def port(self):
+        return self.listener.port
+
+    def start(self):
+        self.listener.start()
+        return self
+
+    async def stop(self, within):
+        """Connections end after the answer that they wait for; those still open after `within` seconds are cut."""
+        self.stopping = True
+        for wire in self.at_rest:
+            wire.end_reading()
+        await self.listener.stop(within)
+
+    async def _serve(self, wire):
+        conn = _Connection(wire, http.RequestParser(self.body_most))
+        try:
+            while True:
+                try:
+                    request = await self._next(conn)
+                except BadMessage as fault:
+                    await self._refuse(wire, fault.status, str(fault))
+                    return
+                except TimeoutError:
+                    if conn.parser.begun:
+                        await self._refuse(wire, 408, "the request did not come in time")
+                    return
+                if request is None or not await self._handle(conn, request):
+                    return
+        finally:
+            if conn.watch is not None:
+                conn.watch.cancel()
+
+    async def _next(self, conn):
+        """The next whole request; None at the end of the connection."""
+        loop, parser, began = asyncio.get_running_loop(), conn.parser, None
+        while not parser.ready:
+            limit = self.idle
+            if parser.begun:
+                began = began or loop.time()
+                limit = began + self.slow - loop.time()
+                if limit <= 0:
+                    raise TimeoutError
+            elif self.stopping:
+                return None
+            if not parser.begun:
+                self.at_rest.add(conn.wire)
+            try:
+                watch = conn.watched()
+                await asyncio.wait({watch}, timeout=limit)
+            finally:
+                self.at_rest.discard(conn.wire)
+            if not watch.done():
+                raise TimeoutError
+            data = conn.taken()
+            if not data:
+                return None
+            parser.feed(data)
+            if parser.wants_continue and not parser.ready:
+                parser.wants_continue = False
+                await conn.wire.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return parser.ready.popleft()
+
+    async def _refuse(self, wire, status, text):
+        body = answers.error(text, "invalid_request_error")
+        try:
+            await wire.send(http.answer(status, answers.JSON, body, keep_alive=False))
+        except OSError:
+            pass
+
+    async def _handle(self, conn, request):
+        """Answers one request; whether the connection stays open."""
+        keep = request.keep_alive and not self.stopping
+        kind = ROUTES.get(request.path)
+        if kind is None:
+            status, headers, body = self._page(request)
+        elif request.method != "POST":
+            status, headers, body = 405, {**answers.JSON, "allow": "POST"}, answers.error(
+                f"{request.path} takes POST", "invalid_request_error")
+        else:
+            try:
+                ask, core = self._ask(kind, request)
+            except (BadMessage, names.Unnamed) as fault:
+                status, headers, body = fault.status, answers.JSON, answers.error(
+                    str(fault), "invalid_request_error", param=getattr(fault, "at", None))
+            else:
+                return await self._question(conn, ask, core, keep)
+        if request.method == "HEAD":
+            body = b""
+        await conn.wire.send(http.answer(status, headers, body, keep))
+        return keep
+
+    def _page(self, request):
+        if request.method not in ("GET", "HEAD"):
+            return 404, answers.JSON, answers.error(f"no {request.path} here", "invalid_request_error")
+        if request.path == "/v1/models":
+            return 200, answers.JSON, msgspec.json.encode({"object": "list", "data": [
+                {"id": model, "object": "model", "created": 0, "owned_by": "ramppulley"}
+                for model in self.board.models()]})
+        if request.path.startswith("/v1/models/") and request.path[11:] in self.board.models():
+            return 200, answers.JSON, msgspec.json.encode(
+                {"id": request.path[11:], "object": "model", "created": 0, "owned_by": "ramppulley"})
+        if request.path == "/healthz":
+            ready = self.board.ready() and not self.stopping
+            return (200 if ready else 503), {"content-type": "text/plain"}, b"ok\n" if ready else b"not ready\n"
+        if request.path == "/metrics":
+            return 200, {"content-type": CONTENT_TYPE_LATEST}, generate_latest(self.board.registry)
+        return 404, answers.JSON, answers.error(f"no {request.path} here", "invalid_request_error")
+
+    def _ask(self, kind, request):
+        """One neutral question; raises BadMessage or Unnamed."""
+        metadata, naming = request.headers, self.board.naming
+        account = names.account_of(naming, metadata)
+        media = metadata.get("content-type", "application/json").partition(";")[0].strip().lower()
+        if media != "application/json":
+            raise bodies.Unfit(f"application/json is needed, not {media}", status=415)
+        body, checked = bodies.read(kind, request.body)
+        core = self.board.core(kind, checked.model)
+        if core is None:
+            raise bodies.Unfit(f"no model {checked.model[:names.TEXT_MOST]!r} for {kind} here", "model", 404)
+        if not self.board.room():
+            raise bodies.Unfit("the router holds as many questions as it may", status=503)
+        weighed, counted = names.weigh(kind, body)
+        estimator = core.estimator
+        prompt = counted + (estimator.tokens(checked.model, weighed) if weighed else 0)
+        use_case = names.use_case_of(naming, metadata, kind, checked.model)
+        prefix, prefix_bytes = names.beginning_of(kind, body)
+        told = metadata.get("x-request-id", "")
+        name = told if 0 < len(told) <= 64 and told.isascii() and told.replace("-", "").isalnum() else "q"
+        return Ask(
+            name=f"{name}.{self.board.mark}{next(self.serial)}", kind=kind, model=checked.model, use_case=use_case,
+            body=body, patience=names.patience_of(naming, metadata, core.use_cases[use_case], prompt),
+            prompt=max(1, prompt), weighed=0 if counted else weighed, most_out=bodies.most_out(kind, checked),
+            stream=bool(getattr(checked, "stream", False)),
+            with_usage=not getattr(checked, "stream", False) or bool(
+                getattr(checked, "stream_options", None) and checked.stream_options.include_usage),
+            account=account, session=names.session_of(naming, metadata, kind, body), prefix=prefix,
+            prefix_tokens=estimator.tokens(checked.model, prefix_bytes) if prefix_bytes else 0,
+            receipt=metadata.get(naming.receipt_header, "")[:names.TEXT_MOST]), core
+
+    async def _question(self, conn, ask, core, keep):
+        """From taken to its final answer; whether the connection stays open."""
+        sink, early = Sink(conn.wire, ask, self.slow), []
+        life = core.take(ask, sink)
+        try:
+            while not sink.done.done():
+                waits = {sink.done}
+                if not early:           # one buffer of pipelined bytes at most waits; then the socket does
+                    waits.add(conn.watched())
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                if conn.watch is not None and conn.watch.done():
+                    early.append(conn.taken())
+                    if not early[0] and not sink.done.done():
+                        return False
+            ending = sink.done.result()
+            if ending.how == LEFT or sink.busy:
+                return False
+            keep = await self._end(conn.wire, ask, life, sink, ending, keep) and keep and b"" not in early
+            for data in early if keep else ():
+                conn.parser.feed(data)
+            return keep and not self.stopping
+        except BadMessage as fault:     # of the pipelined bytes
+            await self._refuse(conn.wire, fault.status, str(fault))
+            return False
+        finally:
+            core.left(life)             # no effect after an ending
+
+    async def _end(self, wire, ask, life, sink, ending, keep):
+        """Writes the final answer; whether the connection can go on."""
+        if sink.begun:
+            if ending.how == FULFILLED:
+                await wire.send(http.chunk(sse.event(sse.DONE)) + http.LAST_CHUNK)
+                return True
+            # an error event, no [DONE], no last chunk: no client can take it for a whole answer
+            await wire.send(http.chunk(sse.event(answers.error(
+                "the stream broke: " + ending.why, "broken_stream", "may_have_run"))))
+            return False
+        if ending.how == FULFILLED and not ending.body and sink.gatherer:
+            status, headers, body = 200, answers.JSON, sink.gatherer.whole()
+        else:
+            status, headers, body = answers.of_ending(ending, len(life.outs))
+        await wire.send(http.answer(status, {**headers, "x-request-id": ask.name}, body, keep))
+        return True
--- /dev/null
+++ b/ramppulley/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments: days, clients, baselines, benchmarks."""
--- /dev/null
+++ b/ramppulley/load/client.py
@@ -0,0 +1,86 @@
+"""A client of the HTTP API for load: one question, and what crossed its socket. Not a library for users."""
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ramppulley.wire import http, sse
+from ramppulley.wire.faults import BadMessage
+from ramppulley.wire.sockets import connect
+
+
+@dataclass
+class Reply:
+    """What came back. Times: seconds on the loop's clock."""
+    status: int = 0
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    events: list = field(default_factory=list)
+    sent: float = 0.0
+    first: float | None = None
+    ended: float = 0.0
+    done: bool = False          # a whole answer: a stream with its [DONE], or all of its length
+    fault: str = ""             # refused, reset, cut, gave up
+
+    def json(self):
+        return msgspec.json.decode(self.body)
+
+    def text(self):
+        """The answer's text, of a chat or completion, streamed or whole."""
+        if self.events:
+            choices = [c for e in self.events for c in msgspec.json.decode(e).get("choices", [])]
+            return "".join(c["delta"].get("content") or "" if "delta" in c else c.get("text", "") for c in choices)
+        choice = self.json()["choices"][0]
+        return choice["message"]["content"] if "message" in choice else choice["text"]
+
+
+async def ask(host, port, path, body=None, headers=None, patience=30.0, method="POST", read_slowly=0.0, wire=None,
+              gap=0.0):
+    """One question on a connection of its own, or on `wire`, which is then left open. Never raises for what the
+    other side does; `read_slowly`: seconds between reads, `gap`: before the first one.
+    """
+    loop, reply, own = asyncio.get_running_loop(), Reply(), wire is None
+    reply.sent, splitter = loop.time(), sse.Splitter(4 << 20)
+    raw = b"" if body is None else body if isinstance(body, bytes) else msgspec.json.encode(body)
+    try:
+        async with asyncio.timeout(patience):
+            wire = wire or await connect(host, port, patience)
+            await wire.send(http.request(method, path, {
+                "host": f"{host}:{port}", "content-type": "application/json", **(headers or {})}, raw))
+            if gap:
+                await asyncio.sleep(gap)
+            parser = http.AnswerParser(256 << 20)
+            while not parser.done:
+                data = await wire.receive()
+                if not data:
+                    reply.fault = "cut"
+                    break
+                parser.feed(data)
+                if parser.status and not reply.status:
+                    reply.status, reply.headers = parser.status, parser.headers
+                if parser.headers.get("content-type", "").startswith("text/event-stream"):
+                    for event in splitter.feed(parser.take()):
+                        reply.first = reply.first or loop.time()
+                        if event == sse.DONE:
+                            reply.done = True
+                        elif event.startswith(b'{"error"'):
+                            reply.fault = "error event"
+                        else:
+                            reply.events.append(event)
+                if read_slowly:
+                    await asyncio.sleep(read_slowly)
+            else:
+                reply.body = parser.take()
+                if not reply.events:
+                    reply.done, reply.first = True, reply.first or loop.time()
+    except TimeoutError:
+        reply.fault = "gave up"
+    except BadMessage as fault:
+        reply.fault = f"bad answer: {fault}"
+    except OSError as fault:
+        reply.fault = f"{type(fault).__name__}"
+    finally:
+        reply.ended = loop.time()
+        if wire is not None and (own or not reply.done):
+            wire.close()
+    return reply
--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -35,15 +35,26 @@
         self.expected = worker.read_time(unread) if worker.reads else 0
 
 
+TEXTS = 1 << 14                 # texts remembered for one worker, also where its memory is not told
+
+
 class Kept:
-    """Texts that a worker has read and their tokens, oldest use first, within its memory (0 = not told)."""
+    """Texts that a worker has read and their tokens, oldest use first, within its memory (0 = not told).
+
+    >>> kept = Kept(100)
+    >>> for text, tokens in (("", 50), ("a", 60), ("b", 30), ("a", 50), ("c", 30)): kept.add(text, tokens)
+    >>> kept.tokens
+    {'a': 60, 'c': 30}
+    """
 
     def __init__(self, memory):
         self.memory, self.tokens = memory, {}
 
     def add(self, text, tokens):
+        if not text:            # no name to find it by: embeddings and such have no session
+            return
         self.tokens[text] = max(tokens, self.tokens.pop(text, 0))
-        while self.memory and sum(self.tokens.values()) > self.memory:
+        while len(self.tokens) > TEXTS or (self.memory and sum(self.tokens.values()) > self.memory):
             del self.tokens[next(iter(self.tokens))]
 
     def of(self, slip):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -499,6 +499,7 @@
         crossing = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
         readers = [r for r in self.router.roster.readers if r.usable() and question.may_run_at(r)]
         lots, weighed, best = lots_of(slip, readers), {}, None
+        alone = not self.router.roster.readers      # departure: only mixed ones, which read all
         for writer in ranked[:SHORT_LIST]:
             near, other, short = self.around(slip, writer, readers, lots)
             cell = writer.box.cell
@@ -513,11 +514,12 @@
                 if key not in weighed:
                     weighed[key] = self.weigh(question, *key)
                 took, score = weighed[key]
-                if reader is writer and took > SELF_READ * scale:
+                if reader is writer and took > SELF_READ * scale and not alone:
                     continue
                 soonest = min(soonest, took)
                 if best is None or score + own + far < best[0]:
-                    best = (score + own + far, took + writer.figures().wait, reader, writer)
+                    wait = writer.figures().wait    # alone: measured to the answer, so it holds the read
+                    best = (score + own + far, max(took, wait) if alone else took + wait, reader, writer)
         if best is None:
             return 0, None, None
         wait, slowness = best[3].figures().wait, best[3].figures().slowness
--- /dev/null
+++ b/ramppulley/service/core.py
@@ -0,0 +1,198 @@
+"""Hosts one decision module for one pool of workers: tells it what happens, carries out what it decides.
+
+A front hands in an Ask with its Sink (`take`, `left`); an engine connector is told start / withdraw / hold / let go and
+reports `first`, `ended`, `placed`, `probed`; the list of workers reports `listed`. What a question keeps here is its
+body, its Life and one Out for each of its sends (four at most); tokens pass through and are never collected.
+"""
+from ramppulley import door
+from ramppulley.service.neutral import (FULFILLED, LEFT, ONE_STAGE, SCRAPPED, TURNED_BACK, Ending, Life, Out)
+from ramppulley.service.record import QuestionRecord, SendRecord
+
+
+class Core:
+    """One pool's questions and its module. Implements `door.Host`.
+
+    `make_router(host, now)` gives the module, or a baseline with the same events. `names` tells a box's name.
+    """
+
+    def __init__(self, pool, make_router, connector, clock, use_cases, accounts, book, log, estimator, names):
+        self.pool, self.connector, self.clock, self.book, self._log = pool, connector, clock, book, log
+        self.use_cases, self.accounts, self.estimator, self.names = use_cases, accounts, estimator, names
+        self.lives, self.taken, self.draining = {}, 0, False
+        self.router = make_router(self, clock.now())
+
+    # What a front tells
+    def take(self, ask, sink):
+        """From here one final answer is owed; it comes by `sink.final`, perhaps before this returns."""
+        now, use_case = self.clock.now(), self.use_cases[ask.use_case]
+        one_stage = ask.kind in ONE_STAGE
+        slip = door.Slip(
+            use_case, prompt=max(1, ask.prompt), most_out=ask.most_out, patience=ask.patience, session=ask.session,
+            prefix=ask.prefix, prefix_tokens=min(ask.prefix_tokens, ask.prompt), likely_out=1 if one_stage else None,
+            account=self.accounts.get(ask.account, len(self.accounts)))
+        life = self.lives[slip] = Life(ask, slip, sink, now)
+        self.taken += 1
+        self._tell(life, self.router.arrived, slip)
+        return life
+
+    def left(self, life):
+        """The client closed its connection: nothing is owed any more, and what runs for it is stopped."""
+        if life.ending is None:
+            self._end(life, Ending(LEFT, False, "the client left", streamed=life.first is not None))
+            self._tell(life, self.router.left, life.slip)
+            for out in life.out:
+                self._stop(out)         # also a stream, which the module leaves to the client
+            self._forget(life)
+
+    # What the list of workers tells
+    def listed(self, boxes):
+        self.router.listed(self.clock.now(), boxes)
+
+    # What an engine connector tells
+    def first(self, out):
+        """The answer has begun: from now on it is the client's, whatever becomes of it."""
+        life = out.life
+        if out.ended or life.ending is not None:
+            return False
+        out.first = life.first = self.clock.now()
+        life.state = life.held_at = life.place = None
+        self._tell(life, self.router.first_token, life.slip, out.send)
+        return True
+
+    def ended(self, out, end):
+        """The one outcome of a send."""
+        life = out.life
+        if out.ended:
+            return
+        if end.body and life.ending is None:
+            self.first(out)     # in one piece: begun and ended in one moment, or its end looks like a slow stream
+        out.ended, out.end = True, (self.clock.now(), end)
+        final = life.ending is not None
+        if end.outcome == door.READ:
+            if end.state is not None:
+                life.state, life.held_at = end.state, out.box
+        elif end.outcome == door.NO_STATE:
+            life.state = life.held_at = None
+        if end.usage:
+            life.usage = end.usage
+            if life.ask.weighed:
+                self.estimator.learn(life.ask.model, life.ask.weighed, end.usage.prompt)
+        if end.outcome == door.DONE and not final:
+            self._end(life, Ending(FULFILLED, False, status=end.status, streamed=not end.body, body=end.body))
+            final = True
+        kept = end.usage.cached if end.usage else 0
+        self._tell(life, self.router.outcome, life.slip, out.send, end.outcome, final, kept, end.report)
+        self._forget(life)
+
+    def placed(self, life, box, held):
+        if life.slip in self.lives:
+            if not held and life.place is box:
+                life.place = None
+            self._tell(life, self.router.place, life.slip, box, held)
+
+    def probed(self, box, outcome, report):
+        self.router.probed(self.clock.now(), box, outcome, report)
+
+    # What the module asks for (door.Host)
+    def send(self, slip, box, time_out, send):
+        life = self.lives[slip]
+        out = Out(life, box, send, len(life.outs), box.role == "read", time_out, self.clock.now(), life.state)
+        life.outs.append(out)
+        if not out.reads and life.place is not box:
+            self._let_place_go(life)
+        self.connector.start(self, out)
+
+    def hold_place(self, slip, box):
+        life = self.lives[slip]
+        self._let_place_go(life)
+        life.place = box
+        self.connector.hold(self, life, box)
+
+    def let_go(self, slip):
+        life = self.lives.get(slip)
+        if life is None:
+            return
+        if life.state is not None:
+            self.connector.let_go(life, life.held_at, life.state)
+            life.state = life.held_at = None
+        self._let_place_go(life)
+
+    def withdraw(self, slip, send):
+        for out in self.lives[slip].out:
+            if out.send is send:
+                self._stop(out)
+
+    def probe(self, box):
+        self.connector.probe(self, box)
+
+    def turn_back(self, slip, come_back):
+        life = self.lives[slip]
+        why = "no worker could take it in time" if not life.outs else "no worker answered in time"
+        self._end(life, Ending(TURNED_BACK, True, why, come_back, streamed=life.first is not None))
+
+    def scrap(self, slip):
+        life = self.lives[slip]
+        self._end(life, Ending(SCRAPPED, False, "it may have run, and no worker answered in time",
+                               streamed=life.first is not None))
+
+    def remind(self, wait, note):
+        self.clock.after(wait, self._remind, note)
+
+    def log(self, line):
+        self._log.info("mode", pool=self.pool, line=line)
+
+    # Inside
+    def _remind(self, note):
+        self.router.reminded(self.clock.now(), note)
+        self._sweep(note)
+
+    def _sweep(self, note):
+        slip = getattr(note, "slip", None)
+        if slip in self.lives:
+            self._forget(self.lives[slip])
+
+    def _tell(self, life, event, *args):
+        """A fault in the module costs the question that met it, not the others."""
+        try:
+            event(self.clock.now(), *args)
+        except Exception:
+            self._log.exception("module fault", pool=self.pool, question=life.ask.name)
+            if life.ending is None:
+                self._end(life, Ending(SCRAPPED, False, "a fault in the router", streamed=life.first is not None))
+            self.let_go(life.slip)
+            for out in life.out:
+                self._stop(out)
+
+    def _stop(self, out):
+        if not out.withdrawn:
+            out.withdrawn = True
+            self.connector.withdraw(out)
+
+    def _let_place_go(self, life):
+        if life.place is not None:
+            self.connector.let_go(life, life.place, None)
+            life.place = None
+
+    def _end(self, life, ending):
+        """Rule 1: the first ending is the one, whatever comes after."""
+        if life.ending is None:
+            life.ending, life.ended = ending, self.clock.now()
+            life.sink.final(ending)
+
+    def _forget(self, life):
+        """After its final answer and its last outcome a question is written down and never heard of again."""
+        if life.ending is None or life.out or life.slip not in self.lives:
+            return
+        del self.lives[life.slip]
+        ask, ending, used = life.ask, life.ending, life.usage
+        case = life.slip.use_case
+        self.book.add(QuestionRecord(
+            name=ask.name, kind=ask.kind, model=ask.model, pool=self.pool, use_case=ask.use_case, effect=case.effect,
+            taken=life.taken, patience=ask.patience, prompt=ask.prompt, account=ask.account, session=ask.session,
+            prefix=ask.prefix, prefix_tokens=ask.prefix_tokens, most_out=ask.most_out,
+            promised=case.promised + case.promised_per_k * ask.prompt // 1000, first=life.first,
+            ended=life.ended, how=ending.how, harmless=ending.harmless, why=ending.why, come_back=ending.come_back,
+            prompt_counted=used.prompt if used else 0, cached=used.cached if used else 0,
+            written=used.written if used else 0,
+            sends=[SendRecord(self.names(out.box), out.reads, out.started, out.end[0], out.first, out.end[1].outcome,
+                              out.end[1].why) for out in life.outs]))
--- /dev/null
+++ b/ramppulley/service/record.py
@@ -0,0 +1,91 @@
+"""The event record: one line of JSON for each question, written when its last outcome is in.
+
+Checkers, replays, bills, the planner and the console read this one format. A field is added with a default;
+a change of meaning raises VERSION.
+"""
+from collections import Counter, deque
+
+import msgspec
+
+VERSION = 1
+
+
+class SendRecord(msgspec.Struct, omit_defaults=True):
+    """One send. Times: tenths of a millisecond on the machine's monotonic clock."""
+    worker: str
+    reads: bool
+    start: int
+    end: int = 0
+    first: int | None = None
+    outcome: str = ""
+    why: str = ""
+
+
+class QuestionRecord(msgspec.Struct, omit_defaults=True):
+    """One question from taken to its last outcome."""
+    name: str
+    kind: str
+    model: str
+    pool: str
+    use_case: str
+    effect: str
+    taken: int
+    patience: int
+    prompt: int
+    account: str = ""
+    session: str = ""
+    prefix: str = ""
+    prefix_tokens: int = 0
+    most_out: int = 1
+    promised: int = 0
+    first: int | None = None
+    ended: int = 0
+    how: str = ""
+    harmless: bool = False
+    why: str = ""
+    come_back: int = 0
+    prompt_counted: int = 0
+    cached: int = 0
+    written: int = 0
+    sends: list[SendRecord] = []
+    v: int = VERSION
+
+
+class Book:
+    """The last records in memory, counts by kind and ending, and a file if one is named."""
+
+    def __init__(self, path=None, last=512):
+        self.last, self.counts = deque(maxlen=last), Counter()
+        self._encoder = msgspec.json.Encoder()
+        self._file = open(path, "ab") if path else None
+
+    def add(self, record):
+        self.last.append(record)
+        self.counts[record.kind, record.use_case, record.how] += 1
+        if self._file:
+            self._file.write(self._encoder.encode(record) + b"\n")
+
+    def close(self):
+        if self._file:
+            self._file.close()
+            self._file = None
+
+
+def read_book(path):
+    """All records of a file; raises ValueError that names the line of one that cannot be read.
+
+    A last line without its end is what a killed writer left: it is passed over.
+    """
+    decoder, records = msgspec.json.Decoder(QuestionRecord), []
+    with open(path, "rb") as file:
+        for number, line in enumerate(file, 1):
+            if not line.endswith(b"\n"):
+                break
+            try:
+                record = decoder.decode(line)
+            except msgspec.MsgspecError as fault:
+                raise ValueError(f"{path}:{number}: {fault}") from fault
+            if record.v > VERSION:
+                raise ValueError(f"{path}:{number}: version {record.v}; this program reads up to {VERSION}")
+            records.append(record)
+    return records
--- /dev/null
+++ b/ramppulley/wire/http.py
@@ -0,0 +1,221 @@
+"""HTTP/1.1 without sockets: bytes in, whole requests or pieces of answers out (RFC 9112).
+
+Parsing is llhttp's, in its strict mode: two lengths, a length beside a transfer coding, a bare LF and white space in
+or before a field name are refused, so that two parsers on one path cannot disagree on where a message ends.
+"""
+from collections import deque
+from dataclasses import dataclass, field
+
+import httptools
+
+from ramppulley.wire.faults import BadMessage, TooLarge
+
+HEAD_MOST = 32 * 1024           # bytes of one head
+STATUS = {200: "OK", 202: "Accepted", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
+          405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
+          413: "Content Too Large", 415: "Unsupported Media Type", 429: "Too Many Requests",
+          431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+          502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
+
+
+@dataclass
+class Request:
+    """One whole request; header names are in lower case, a repeated field's values are joined by commas."""
+    method: str = ""
+    target: str = ""
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+    @property
+    def path(self):
+        return self.target.partition("?")[0]
+
+
+class _Head:
+    """What both parsers count: the bytes and the fields of one head."""
+
+    def __init__(self):
+        self.headers, self.size, self.in_head = {}, 0, True
+
+    def add(self, name, value):
+        name, value = name.decode("latin-1").lower(), value.decode("latin-1").strip()
+        self.headers[name] = f"{self.headers[name]}, {value}" if name in self.headers else value
+
+
+class RequestParser:
+    """Feeds on what a client sent; whole requests wait in `ready`.
+
+    Bounded: a head by HEAD_MOST, a body by `body_most`, waiting requests by what one `feed` brings (the reader of
+    the socket feeds no more while any wait).
+
+    >>> parser = RequestParser(100)
+    >>> parser.feed(b"POST /a?b HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 2\\r\\n\\r\\nhi")
+    >>> [(r.method, r.path, r.body) for r in parser.ready]
+    [('POST', '/a', b'hi')]
+    """
+
+    def __init__(self, body_most):
+        self.body_most, self.ready, self.begun = body_most, deque(), False
+        self.wants_continue = False
+        self._parser, self._fault = httptools.HttpRequestParser(self), None
+        self.on_message_begin()
+
+    def feed(self, data):
+        """Raises BadMessage, or TooLarge with the status code that fits."""
+        if data:
+            self.begun = True
+        if self._head.in_head:
+            self._fed += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as fault:
+            raise BadMessage("upgrades are not spoken here") from fault
+        except httptools.HttpParserError as fault:
+            raise (self._fault or BadMessage(str(fault).strip("'\""))) from fault
+        if self._head.in_head and self._fed > 2 * HEAD_MOST:    # a field that never ends is not told until it does
+            raise TooLarge(f"the head is over {HEAD_MOST} bytes", 431)
+
+    def on_message_begin(self):
+        self._head, self._target, self._body, self._length, self._fed = _Head(), b"", [], 0, 0
+
+    def on_url(self, url):
+        self._target += url
+        self._grown(len(url))
+
+    def on_header(self, name, value):
+        self._head.add(name, value)
+        self._grown(len(name) + len(value) + 4)
+
+    def _grown(self, by):
+        self._head.size += by
+        if self._head.size > HEAD_MOST or len(self._head.headers) > 128:
+            self._stop(TooLarge(f"the head is over {HEAD_MOST} bytes or 128 fields", 431))
+
+    def on_headers_complete(self):
+        self._head.in_head = False
+        headers = self._head.headers
+        if "host" in headers and "," in headers["host"]:
+            self._stop(BadMessage("more than one Host"))
+        length = headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.body_most:
+            self._stop(TooLarge(f"the body is over {self.body_most} bytes", 413))
+        self.wants_continue = headers.get("expect", "").lower() == "100-continue"
+
+    def on_body(self, body):
+        self._length += len(body)
+        if self._length > self.body_most:
+            self._stop(TooLarge(f"the body is over {self.body_most} bytes", 413))
+        self._body.append(body)
+
+    def on_message_complete(self):
+        self.ready.append(Request(
+            self._parser.get_method().decode("ascii"), self._target.decode("latin-1"), self._head.headers,
+            b"".join(self._body), self._parser.should_keep_alive()))
+        self.begun = self.wants_continue = False
+
+    def _stop(self, fault):
+        self._fault = fault
+        raise fault
+
+
+class AnswerParser:
+    """Feeds on what an engine sent for one request; the body's pieces are taken with `take`.
+
+    `status` is 0 until the head is whole; `done` when the body is. An answer that is framed by the end of the
+    connection is refused: it cannot be told from one cut short.
+    """
+
+    def __init__(self, body_most):
+        self.body_most, self.status, self.headers, self.done, self.keep_alive = body_most, 0, {}, False, False
+        self._pieces, self._waiting, self._fault = [], 0, None
+        self._parser, self._head = httptools.HttpResponseParser(self), _Head()
+
+    def feed(self, data):
+        """Raises BadMessage or TooLarge."""
+        if self.done:
+            raise BadMessage("bytes after the end of the answer")
+        if self._head.in_head:
+            self._head.size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as fault:
+            raise BadMessage("an upgrade was not asked for") from fault
+        except httptools.HttpParserError as fault:
+            raise (self._fault or BadMessage(str(fault).strip("'\""))) from fault
+        if self._head.in_head and self._head.size > HEAD_MOST:
+            raise TooLarge("the answer's head is too large", 502)
+
+    def take(self):
+        """The body so far, once."""
+        whole, self._pieces, self._waiting = b"".join(self._pieces), [], 0
+        return whole
+
+    def on_header(self, name, value):
+        self._head.add(name, value)
+
+    def on_headers_complete(self):
+        status = self._parser.get_status_code()
+        if status < 200:                # 100 Continue and 103 Early Hints are not the answer
+            self._head = _Head()
+            return
+        self._head.in_head = False
+        self.status, self.headers = status, self._head.headers
+        if "content-length" not in self.headers and "chunked" not in self.headers.get("transfer-encoding", "").lower():
+            if status not in (204, 304):
+                self._fault = BadMessage("the answer has neither a length nor chunks")
+                raise self._fault
+
+    def on_body(self, body):
+        self._waiting += len(body)
+        if self._waiting > self.body_most:
+            self._fault = TooLarge(f"the answer is over {self.body_most} bytes", 502)
+            raise self._fault
+        self._pieces.append(body)
+
+    def on_message_complete(self):
+        if self.status:
+            self.done, self.keep_alive = True, self._parser.should_keep_alive()
+
+
+def _fields(headers):
+    for name, value in headers.items():
+        if "\r" in str(value) or "\n" in str(value):
+            raise BadMessage(f"a line break in the field {name}")
+        yield f"{name}: {value}\r\n"
+
+
+def request(method, target, headers, body=b""):
+    """One request with its length.
+
+    >>> request("GET", "/healthz", {"host": "a"})
+    b'GET /healthz HTTP/1.1\\r\\nhost: a\\r\\ncontent-length: 0\\r\\n\\r\\n'
+    """
+    head = f"{method} {target} HTTP/1.1\r\n{''.join(_fields(headers))}content-length: {len(body)}\r\n\r\n"
+    return head.encode("latin-1") + body
+
+
+def answer(status, headers, body=b"", keep_alive=True):
+    """One whole answer with its length."""
+    end = "" if keep_alive else "connection: close\r\n"
+    head = (f"HTTP/1.1 {status} {STATUS.get(status, 'Other')}\r\n{''.join(_fields(headers))}{end}"
+            f"content-length: {len(body)}\r\n\r\n")
+    return head.encode("latin-1") + body
+
+
+def answer_head(status, headers, keep_alive=True):
+    """The head of an answer that comes in chunks."""
+    end = "" if keep_alive else "connection: close\r\n"
+    return (f"HTTP/1.1 {status} {STATUS.get(status, 'Other')}\r\n{''.join(_fields(headers))}{end}"
+            "transfer-encoding: chunked\r\n\r\n").encode("latin-1")
+
+
+def chunk(data):
+    """
+    >>> chunk(b"hello")
+    b'5\\r\\nhello\\r\\n'
+    """
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/ramppulley/wire/sockets.py
@@ -0,0 +1,135 @@
+"""The one socket loop: asyncio's `sock_*` calls on non-blocking sockets, with a reused buffer for each connection.
+
+Slow peers make the sender slow: `send` returns when the kernel took all bytes, and nothing is read ahead.
+"""
+import asyncio
+import socket
+
+BUFFER = 64 * 1024              # bytes read at once, and all that a connection keeps
+
+
+class Wire:
+    """One connected socket."""
+
+    __slots__ = ("sock", "loop", "_buffer", "_view", "closed")
+
+    def __init__(self, sock):
+        sock.setblocking(False)
+        if sock.family in (socket.AF_INET, socket.AF_INET6):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.loop, self.closed = sock, asyncio.get_running_loop(), False
+        self._buffer = self._view = None
+
+    async def receive(self, most=BUFFER):
+        """The next bytes, b"" at the end; raises OSError. The buffer is made at the first call."""
+        if self._buffer is None:
+            self._buffer = bytearray(most)
+            self._view = memoryview(self._buffer)
+        count = await self.loop.sock_recv_into(self.sock, self._view)
+        return bytes(self._view[:count])
+
+    async def send(self, data):
+        await self.loop.sock_sendall(self.sock, data)
+
+    def idle(self):
+        """Whether an open connection at rest is still good: a peer that closed it, or spoke out of turn, is not."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def end_reading(self):
+        """A pending receive ends as if the peer had closed; what is being sent goes on."""
+        try:
+            self.sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass                # already disconnected
+
+    def reset(self):
+        """Closes with a reset, so that the peer learns at once that nobody reads any more."""
+        if not self.closed:
+            try:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            except OSError:
+                pass            # already disconnected
+        self.close()
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            self.sock.close()
+
+
+async def connect(host, port, within):
+    """A Wire to host:port; raises OSError (refused, unreachable) or TimeoutError after `within` seconds."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        async with asyncio.timeout(within):
+            await loop.sock_connect(sock, (host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return Wire(sock)
+
+
+class Listener:
+    """Accepts connections and runs `serve(wire)` in a task for each, at most `most` at once."""
+
+    def __init__(self, serve, host="127.0.0.1", port=0, most=10_000, backlog=1024):
+        self.serve, self.most, self.tasks, self.turned_away = serve, most, set(), 0
+        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind((host, port))
+        except OSError:
+            self.sock.close()
+            raise
+        self.sock.listen(backlog)
+        self.sock.setblocking(False)
+        self.host, self.port = self.sock.getsockname()[:2]
+        self._accepting = None
+
+    def start(self):
+        self._accepting = asyncio.get_running_loop().create_task(self._accept())
+        return self
+
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self.sock)
+            except OSError:             # out of file handles, or the peer left in between
+                await asyncio.sleep(0.02)
+                continue
+            if len(self.tasks) >= self.most:
+                self.turned_away += 1
+                sock.close()
+                continue
+            task = loop.create_task(self._run(Wire(sock)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _run(self, wire):
+        try:
+            await self.serve(wire)
+        except (OSError, asyncio.CancelledError):
+            pass                        # the peer left, or the program ends
+        finally:
+            wire.close()
+
+    async def stop(self, within=0.0):
+        """Takes no more; open connections get `within` seconds to end, then are cut."""
+        if self._accepting:
+            self._accepting.cancel()
+            await asyncio.gather(self._accepting, return_exceptions=True)
+        self.sock.close()
+        if self.tasks and within > 0:
+            await asyncio.wait(set(self.tasks), timeout=within)
+        for task in set(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -162,7 +162,7 @@
 
     def serve(count):
         asked = []
-        for n in range(count):
+        for _ in range(count):
             host.wait(100 * MS)
             asked.append(host.ask(session=f"{host.now}"))
             for slip in asked:
