--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -55,10 +55,39 @@
 
 
 @app.command()
-def serve(settings: Path):
+def serve(settings: Path, policy: Annotated[str, typer.Option(help="module, or a baseline to measure against: "
+                                                              "random, least")] = "module"):
     """Run the router alone, by a settings file."""
     orders = orders_of(settings)
-    uvloop.run(run(Daemon(orders, logs(orders.log), settings.parent)))
+    uvloop.run(run(Daemon(orders, logs(orders.log), settings.parent, policy_of(policy))))
+
+
+def policy_of(name):
+    from ramppulley.load.baselines import POLICIES
+    if name not in POLICIES:
+        fail(f"no policy {name!r}: {', '.join(POLICIES)}")
+    return POLICIES[name]
+
+
+@app.command()
+def day(file: Path, json_: Annotated[bool, typer.Option("--json", help="the verdict as JSON")] = False,
+        policy: Annotated[str, typer.Option(help="one, or several with commas between: the same day for each")] = "module"):
+    """Play a scripted day on loopback and judge it by what crossed the sockets."""
+    from ramppulley.load.day import Day
+    from ramppulley.load.report import report, run_days
+    try:
+        told = json5.read(file, Day)
+    except OSError as fault:
+        fail(f"{file}: {fault.strerror}")
+    except json5.BadFile as fault:
+        fail(str(fault))
+    policies = policy.split(",")
+    for name in policies:
+        policy_of(name)
+    verdicts = run_days(told, policies, lambda text: typer.echo(text, err=True))
+    report(verdicts, json_)
+    if any(v["breaches"] or v["lost"] for v in verdicts if v["policy"] == "module"):
+        raise typer.Exit(1)
 
 
 @app.command()
--- a/ramppulley/load/client.py
+++ b/ramppulley/load/client.py
@@ -35,15 +35,16 @@
 
 
 async def ask(host, port, path, body=None, headers=None, patience=30.0, method="POST", read_slowly=0.0, wire=None,
-              gap=0.0):
+              gap=0.0, after_first=0.0):
     """One question on a connection of its own, or on `wire`, which is then left open. Never raises for what the
-    other side does; `read_slowly`: seconds between reads, `gap`: before the first one.
+    other side does; `read_slowly`: seconds between reads, `gap`: before the first one;
+    `after_first`: seconds that a stream may go on once it has begun, in place of `patience`.
     """
     loop, reply, own = asyncio.get_running_loop(), Reply(), wire is None
     reply.sent, splitter = loop.time(), sse.Splitter(4 << 20)
     raw = b"" if body is None else body if isinstance(body, bytes) else msgspec.json.encode(body)
     try:
-        async with asyncio.timeout(patience):
+        async with asyncio.timeout(patience) as limit:
             wire = wire or await connect(host, port, patience)
             await wire.send(http.request(method, path, {
                 "host": f"{host}:{port}", "content-type": "application/json", **(headers or {})}, raw))
@@ -53,14 +54,17 @@
             while not parser.done:
                 data = await wire.receive()
                 if not data:
-                    reply.fault = "cut"
+                    reply.fault = reply.fault or "cut"
                     break
                 parser.feed(data)
                 if parser.status and not reply.status:
                     reply.status, reply.headers = parser.status, parser.headers
                 if parser.headers.get("content-type", "").startswith("text/event-stream"):
                     for event in splitter.feed(parser.take()):
-                        reply.first = reply.first or loop.time()
+                        if reply.first is None:
+                            reply.first = loop.time()
+                            if after_first:
+                                limit.reschedule(reply.first + after_first)
                         if event == sse.DONE:
                             reply.done = True
                         elif event.startswith(b'{"error"'):
--- a/ramppulley/standin/fleet.py
+++ b/ramppulley/standin/fleet.py
@@ -14,7 +14,7 @@
     def __init__(self, machines, list_path, extensions=("release", "hold")):
         self.yard, self.ledger, self.held, self.listed_at = Yard(), [], [], []
         self.list_path, self.lag, self.machines = list_path, 0.0, {m["name"]: m for m in machines}
-        self.states, self.started, self.standins, self._late = {}, {}, {}, set()
+        self.states, self.started, self.standins, self._late, self.births = {}, {}, {}, set(), []
         for machine in machines:
             engine = Engine(machine["name"], Kind(role=machine["role"], **machine.get("kind", {})), self.yard,
                             cell=machine.get("cell", ""), zone=machine.get("zone", ""))
@@ -32,6 +32,10 @@
             task.cancel()
         await asyncio.gather(*(s.stop() for s in self.standins.values()))
 
+    def open_held(self):
+        """States and places that wait now."""
+        return [held for standin in self.standins.values() for held in standin.open_held.values()]
+
     def entries(self):
         found = []
         for name, machine in self.machines.items():
@@ -78,6 +82,7 @@
         """Comes back cold."""
         await self.standins[name].restart()
         self.started[name], self.states[name] = time.time(), "ready"
+        self.births.append((name, self.standins[name].engine.born))
         self.write()
 
     def drain(self, name):
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -24,6 +24,7 @@
     request: str                # X-Request-Id
     what: str                   # read, write or pool
     arrived: int
+    opened: int = 0             # when its connection was accepted, if it is the first on it; else as arrived
     receipt: str = ""
     weight: int = 0             # its cost alone on a warm engine
     ran: bool = False           # it has begun: an effect may have happened
@@ -91,6 +92,15 @@
         self.reports.clear()
         await self.start(self.last_port)
 
+    async def cut_off(self):
+        """No route to it: connections are reset, new ones refused; its engine runs on."""
+        self.last_port = self.listener.port
+        await self.listener.stop()
+
+    async def reach(self):
+        if not self.engine.down:
+            self.listener = Listener(self._serve, port=self.last_port).start()
+
     # The model's steps on the real clock
     async def _pump(self):
         loop = asyncio.get_running_loop()
@@ -131,14 +141,15 @@
                     self.engine.drop_place(key)
                 self._close_held(key, "expired")
 
-    def _close_held(self, key, how):
+    def _close_held(self, key, how, at=None):
         held = self.open_held.pop(key, None)
         if held:
-            held.until, held.how = self.now(), how
+            held.until, held.how = self.now() if at is None else at, how
 
     # One connection
     async def _serve(self, wire):
         parser, loop = http.RequestParser(64 << 20), asyncio.get_running_loop()
+        wire.opened = self.now()
         if self.handshake:
             await asyncio.sleep(self.handshake)
         while True:
@@ -160,6 +171,7 @@
                     return
                 if not await answering:
                     return
+                wire.opened = None
                 if not watching.done():
                     data = await watching
                 else:
@@ -199,6 +211,7 @@
 
     async def _answer(self, wire, request):
         """Answers one request; whether the connection stays open."""
+        arrived = self.now()
         while self.silent_to:
             await asyncio.sleep(0.02)
         if request.path in ("/health", "/metrics"):
@@ -213,7 +226,7 @@
         if request.path == "/kv/hold":
             return await self._hold(wire, body)
         if request.path == "/kv/release":
-            return await self._release(wire, body)
+            return await self._release(wire, body, arrived)
         if self.refuses and any(body.get(k) == v for k, v in self.refuses.items()):
             return await self._error(wire, 503, "overloaded", "no room for these")
         if request.path in ("/v1/embeddings", "/v1/rerank"):
@@ -231,20 +244,21 @@
         await wire.send(http.answer(200 if held else 409, self._headers(), b"{}"))
         return True
 
-    async def _release(self, wire, body):
+    async def _release(self, wire, body, arrived):
         key = body.get("remote_block_ids")
         if key:
             if self.engine.yard.release(key[0]):
-                self._close_held(key[0], "let go")
+                self._close_held(key[0], "let go", arrived)
         else:
             self.engine.drop_place(str(body.get("request_id")))
-            self._close_held(str(body.get("request_id")), "let go")
+            self._close_held(str(body.get("request_id")), "let go", arrived)
         self.wake.set()
         await wire.send(http.answer(200, self._headers(), b"{}"))
         return True
 
-    def _enter(self, what, name, request, job):
-        entry = Entry(self.engine.name, name, what, self.now(), request.headers.get("idempotency-key", ""),
+    def _enter(self, wire, what, name, request, job):
+        now = self.now()
+        entry = Entry(self.engine.name, name, what, now, wire.opened or now, request.headers.get("idempotency-key", ""),
                       self.engine.work(job))
         self.ledger.append(entry)
         return entry
@@ -275,7 +289,7 @@
             query, inputs = body.get("query", ""), [_text(d) for d in body.get("documents", [])]
             counts = [texts.tokens_of(query) + texts.tokens_of(d) for d in inputs]
         job = Job(name, sum(counts), reads_only=False, out=1)
-        entry = self._enter("pool", name, request, job)
+        entry = self._enter(wire, "pool", name, request, job)
         queue = await self._take(wire, entry, job)
         if queue is None:
             return not wire.closed
@@ -320,7 +334,7 @@
         most = body.get("max_completion_tokens") or body.get("max_tokens") or 256
         prompt = texts.tokens_of(text)
         job = Job(name, prompt, 1 if reads else texts.length_of(text, most), texts.blocks_of(text), reads, state)
-        entry = self._enter("read" if reads else "write", name, request, job)
+        entry = self._enter(wire, "read" if reads else "write", name, request, job)
         if self.engine.kind.role == "write" and not state:
             entry.ended, entry.how = self.now(), "no_state"
             return await self._error(wire, 409, "kv_state_gone", "a writer cannot read")
--- a/ramppulley/standin/texts.py
+++ b/ramppulley/standin/texts.py
@@ -1,5 +1,7 @@
 """What a stand-in makes of texts: tokens, blocks, answers, vectors and scores; all by their content alone. Pure."""
 import math
+from collections import Counter
+from functools import lru_cache
 
 import xxhash
 
@@ -47,14 +49,21 @@
     return max(1, min(most, int(8 * 32 ** draw)))
 
 
+@lru_cache(4096)
+def _word(word, dimensions):
+    seed, found = xxhash.xxh3_64_intdigest(word.encode()), []
+    for _ in range(dimensions):
+        seed = (seed * 6364136223846793005 + 1442695040888963407) % 2 ** 64
+        found.append(seed / 2 ** 63 - 1)
+    return found
+
+
 def vector_of(text, dimensions=DIMENSIONS):
     """A unit vector that depends on the text alone; texts that share words lie closer."""
     sums = [0.0] * dimensions
-    for word in text.lower().split() or [""]:
-        seed = xxhash.xxh3_64_intdigest(word.encode())
-        for i in range(dimensions):
-            seed = (seed * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-            sums[i] += seed / 2 ** 63 - 1
+    for word, times in Counter(text.lower().split() or [""]).items():
+        for i, part in enumerate(_word(word, dimensions)):
+            sums[i] += times * part
     norm = math.sqrt(sum(x * x for x in sums)) or 1.0
     return [x / norm for x in sums]
 
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -11,13 +11,13 @@
 class Wire:
     """One connected socket."""
 
-    __slots__ = ("sock", "loop", "_buffer", "_view", "closed")
+    __slots__ = ("sock", "loop", "_buffer", "_view", "closed", "opened")
 
     def __init__(self, sock):
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock, self.loop, self.closed = sock, asyncio.get_running_loop(), False
+        self.sock, self.loop, self.closed, self.opened = sock, asyncio.get_running_loop(), False, None
         self._buffer = self._view = None
 
     async def receive(self, most=BUFFER):
--- /dev/null
+++ b/tests/test_engines.py
@@ -0,0 +1,245 @@
+"""Stories of the connector against a scripted engine: each way to end a send, and what it proves."""
+import asyncio
+import socket
+
+import pytest
+import structlog
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from rig import story
+
+from ramppulley import door
+from ramppulley.engines import proof
+from ramppulley.engines.openai import OpenAIEngines
+from ramppulley.service.neutral import CHAT, EMBEDDINGS, Ask, Life, Out
+from ramppulley.wire import http, sse
+from ramppulley.wire.sockets import Listener
+
+STATE = {"do_remote_prefill": True, "remote_engine_id": "r", "remote_block_ids": ["b"]}
+CASE = door.UseCase(10_000, 0, 60_000, 600)
+
+
+class FakeCore:
+    def __init__(self):
+        self.ends, self.firsts, self.pieces = [], 0, []
+        self.over = asyncio.Event()
+
+    def first(self, out):
+        out.first, self.firsts = 1, self.firsts + 1
+        return True
+
+    def ended(self, out, end):
+        self.ends.append(end)
+        self.over.set()
+
+    async def piece(self, data):
+        self.pieces.append(data)
+
+
+def whole(status, body, **headers):
+    return http.answer(status, {"content-type": "application/json", **headers}, body)
+
+
+def stream(*events):
+    return http.answer_head(200, {"content-type": "text/event-stream"}) + b"".join(
+        http.chunk(sse.event(e)) for e in events)
+
+
+TOKEN = b'{"choices":[{"index":0,"delta":{"content":"a"}}]}'
+USAGE = b'{"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":1}}'
+
+
+async def play(script, what="write", time_out=3000, act=None, address=None, size=10, times=1):
+    """Sends to an engine that answers with the script's bytes, or that runs it; the core's view of it."""
+    async def serve(wire):
+        parser = http.RequestParser(64 << 20)
+        while True:
+            while not parser.ready:
+                data = await wire.receive()
+                if not data:
+                    return
+                parser.feed(data)
+            parser.ready.popleft()
+            if callable(script):
+                await script(wire)
+            else:
+                await wire.send(script)
+            if callable(script) or b"connection: close" in script:
+                return
+    listener = Listener(serve).start()
+    engines, core = OpenAIEngines(structlog.get_logger(), connect_within=0.3), FakeCore()
+    box = door.Box(1, "read" if what == "read" else "both" if what == "pool" else "write", 0, 0, 0)
+    engines.know(box, address or ("127.0.0.1", listener.port))
+    body = {"model": "m", "input": "x" * size} if what == "pool" else {"model": "m", "messages": ["x" * size]}
+    ask = Ask("q.r0-1", EMBEDDINGS if what == "pool" else CHAT, "m", "c", body, 60_000, 1, stream=True)
+    try:
+        for number in range(times):
+            core.over.clear()
+            life = Life(ask, door.Slip(CASE, 1, 1, 60_000), core, 0)
+            out = Out(life, box, None, number, what == "read", time_out, 0, None if what == "pool" else STATE)
+            engines.start(core, out)
+            if act:
+                await act(engines, out)
+            async with asyncio.timeout(10):
+                await core.over.wait()
+    finally:
+        await engines.close()
+        await listener.stop()
+    core.made = engines.workers[box].connections.made
+    return core
+
+
+async def reset(wire):
+    wire.reset()
+
+
+async def nothing(wire):
+    await asyncio.sleep(9)
+
+
+def then(*parts):
+    async def script(wire):
+        for part in parts:
+            await wire.send(part) if isinstance(part, bytes) else await part(wire)
+        wire.close()
+    return script
+
+
+READ = whole(200, b'{"kv_transfer_params":{"do_remote_prefill":true,"remote_engine_id":"r"},"usage":{"prompt_tokens":9,'
+                  b'"prompt_tokens_details":{"cached_tokens":4}}}')
+GOOD = stream(TOKEN, USAGE, sse.DONE) + http.LAST_CHUNK
+ENDINGS = [
+    ("a whole stream", GOOD, "write", door.DONE),
+    ("a read with its state", READ, "read", door.READ),
+    ("a batch", whole(200, b'{"data":[],"usage":{"total_tokens":3}}'), "pool", door.DONE),
+    ("reset after the request was written", reset, "write", door.CUT),
+    ("closed without an answer", then(), "write", door.CUT),
+    ("reset after the first token", then(stream(TOKEN), reset), "write", door.CUT),
+    ("cut within a chunk", then(stream(TOKEN, TOKEN)[:-20]), "write", door.CUT),
+    ("a batch cut short", then(whole(200, b'{"data":[]}')[:-3]), "pool", door.CUT),
+    ("a stream without its end", stream(TOKEN) + http.LAST_CHUNK, "write", door.CUT),
+    ("full, by 503", whole(503, b'{"error":{"code":"overloaded"}}'), "write", door.NO_ROOM),
+    ("full, by 429, no JSON", whole(429, b"later"), "read", door.NO_ROOM),
+    ("state gone", whole(409, b'{"error":{"code":"kv_state_gone"}}'), "write", door.NO_STATE),
+    ("a conflict that is not about a state", whole(409, b'{"error":{"code":"x"}}'), "write", door.FAULT),
+    ("a reader that speaks of a state", whole(409, b'{"error":{"code":"kv_state_gone"}}'), "read", door.FAULT),
+    ("a server error", whole(500, b"{}"), "write", door.FAULT),
+    ("a server error that is no JSON", whole(502, b"<html>"), "read", door.FAULT),
+    ("the engine's verdict on the question", whole(400, b'{"error":{"code":"too_long"}}'), "write", door.DONE),
+    ("no HTTP at all", b"SSH-2.0-x\r\n\r\n", "write", door.FAULT),
+    ("not JSON", whole(200, b"{"), "read", door.FAULT),
+    ("JSON that is no object", whole(200, b"[]"), "pool", door.FAULT),
+    ("a read without its state", whole(200, b"{}"), "read", door.FAULT),
+    ("a batch without its list", whole(200, b'{"data":3}'), "pool", door.FAULT),
+    ("a whole answer where a stream was asked for", whole(200, b"{}"), "write", door.FAULT),
+    ("an error event", stream(TOKEN, b'{"error":{"message":"x"}}') + http.LAST_CHUNK, "write", door.FAULT),
+    ("an event after the end", stream(TOKEN, sse.DONE, TOKEN) + http.LAST_CHUNK, "write", door.FAULT),
+    ("an event that is not JSON", stream(b"hello") + http.LAST_CHUNK, "write", door.FAULT),
+    ("a stream without a token", stream(USAGE, sse.DONE) + http.LAST_CHUNK, "write", door.FAULT),
+    ("no length and no chunks", b"HTTP/1.1 200 OK\r\n\r\n{}", "read", door.FAULT),
+    ("a head without end", b"HTTP/1.1 200 OK\r\nA: " + b"x" * 70_000, "read", door.FAULT),
+    ("silence", nothing, "write", door.TOO_SLOW),
+    ("silence after the head", then(http.answer_head(200, {"content-type": "text/event-stream"}), nothing), "write",
+     door.TOO_SLOW),
+    ("half a batch, then silence", then(whole(200, b'{"data":[]}')[:-3], nothing), "pool", door.TOO_SLOW),
+]
+
+
+@pytest.mark.parametrize("why,script,what,outcome", ENDINGS, ids=[e[0] for e in ENDINGS])
+def test_an_ending_and_what_it_proves(why, script, what, outcome):
+    @story
+    async def told():
+        core = await play(script, what)
+        assert [end.outcome for end in core.ends] == [outcome], core.ends
+    told()
+
+
+@story
+async def test_a_refused_connection_proves_that_nothing_ran():
+    with socket.socket() as gone:
+        gone.bind(("127.0.0.1", 0))
+        core = await play(GOOD, address=gone.getsockname())
+    assert core.ends[0].outcome == door.NO_ROUTE and core.ends[0].outcome in door.NEVER_RAN
+
+
+@story
+async def test_a_handshake_that_does_not_end_proves_that_nothing_ran():
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        filling = [socket.socket() for _ in range(4)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        core = await play(GOOD, address=full.getsockname())
+        for sock in filling:
+            sock.close()
+    assert core.ends[0].outcome == door.NO_ROUTE
+
+
+@story
+async def test_a_request_that_was_not_written_whole_cannot_have_run():
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listening.bind(("127.0.0.1", 0))
+    listening.listen()
+    listening.setblocking(False)
+
+    async def cut():
+        sock, _ = await asyncio.get_running_loop().sock_accept(listening)
+        await asyncio.sleep(0.05)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        sock.close()
+    task = asyncio.create_task(cut())
+    core = await play(GOOD, address=listening.getsockname(), size=20 << 20)
+    await task
+    listening.close()
+    assert core.ends[0].outcome == door.NO_ROUTE and core.ends[0].why.startswith(proof.WRITE)
+
+
+@story
+async def test_withdrawing_closes_the_connection_and_says_how_far_it_came():
+    async def at_once(engines, out):
+        engines.withdraw(out)
+
+    async def later(engines, out):
+        await asyncio.sleep(0.1)
+        engines.withdraw(out)
+    assert (await play(nothing, act=at_once)).ends[0].outcome == door.STALE
+    assert (await play(nothing, act=later)).ends[0].outcome == door.UNDONE
+
+
+@story
+async def test_a_connection_is_used_again_after_a_whole_answer_and_only_then():
+    assert (await play(GOOD, times=3)).made == 1
+    assert (await play(whole(500, b"{}"), times=3)).made == 1
+    assert (await play(then(GOOD), times=3)).made == 3      # closed by the engine: seen before it is used
+    assert (await play(stream(TOKEN) + http.LAST_CHUNK, times=2)).made == 1
+
+
+@story
+async def test_tokens_pass_in_order_and_the_usage_is_kept_from_who_did_not_ask():
+    core = await play(GOOD)
+    assert core.pieces == [TOKEN] and core.firsts == 1 and core.ends[0].usage.prompt == 7
+
+
+def test_every_stage_and_sight_has_its_outcome():
+    for stage in (proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER):
+        for seen in (proof.LOST, proof.TIMED_OUT, proof.WITHDRAWN):
+            outcome = proof.of(stage, seen)
+            assert (outcome in door.NEVER_RAN) == (stage == proof.CONNECT or (stage, seen) == (proof.WRITE, proof.LOST))
+
+
+PART = st.sampled_from([GOOD, READ, TOKEN, b"\r\n\r\n", b"HTTP/1.1 200 OK\r\n", b"content-length: 4\r\n\r\n", b"0\r\n\r\n",
+                        http.LAST_CHUNK, b"data: ", b"\xff\xfe"])
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(st.lists(st.one_of(PART, st.binary(max_size=40)), max_size=6), st.sampled_from(["read", "write", "pool"]))
+def test_whatever_an_engine_answers_a_send_ends_once(parts, what):
+    @story
+    async def told():
+        core = await play(then(b"".join(parts) or b" "), what, time_out=1000)
+        assert len(core.ends) == 1
+        assert core.ends[0].outcome not in door.NEVER_RAN or core.ends[0].outcome == door.READ
+    told()
