Five rule checkers catch five routers broken on purpose; sockets close only when idle

A checker that cannot fail proves nothing. On the way: closing a socket that the loop still waited on freed its file number for the next connection, which then hung; closing now wakes the wait first. Letting go waits for a hold under way and is tried again until heard, over a spare connection. Pools name their use cases, so that benefit is weighed among those that share workers.

--- a/ramppulley/daemon/daemon.py
+++ b/ramppulley/daemon/daemon.py
@@ -49,8 +49,11 @@
                                      orders.engines.idle_s, orders.engines.connect_s, orders.engines.load)
         cases = {name: case.of_door() for name, case in orders.use_cases.items()}
         accounts = {name: i for i, name in enumerate(orders.accounts)}
-        cores = {pool: Core(pool, self._maker(i, cases), self.engines, self.clock, cases, accounts, self.book,
-                            self.log, estimator, self.fleet.name_of) for i, pool in enumerate(orders.pools)}
+        cores = {}
+        for number, (pool, told) in enumerate(orders.pools.items()):
+            served = {name: cases[name] for name in told.use_cases or cases}
+            cores[pool] = Core(pool, self._maker(number, served), self.engines, self.clock, served, accounts, self.book,
+                               self.log, estimator, self.fleet.name_of)
         naming = Naming(frozenset(cases), **orders.naming.model_dump(), keys={
             key: name for name, account in orders.accounts.items() for key in account.keys})
         self.board = Switchboard(cores, orders.routes(), naming, self.book, f"{orders.name}-", orders.questions_most)
--- a/ramppulley/daemon/orders.py
+++ b/ramppulley/daemon/orders.py
@@ -61,6 +61,7 @@
 class Pool(Part):
     kinds: list[Literal["chat", "completion", "embeddings", "rerank"]] = Field(min_length=1)
     models: list[str] = Field(min_length=1)
+    use_cases: list[str] = []       # those that it serves; none named = all. Benefit is weighed among them
 
 
 class Engines(Part):
@@ -128,6 +129,14 @@
                 (f"naming.by_model.{k}", c) for k, c in self.naming.by_model.items())]:
             if case not in self.use_cases:
                 raise ValueError(f"{where}: no use case {case!r}; use_cases has {', '.join(self.use_cases)}")
+        for pool, told in self.pools.items():
+            for case in told.use_cases:
+                if case not in self.use_cases:
+                    raise ValueError(f"pools.{pool}.use_cases: no use case {case!r}; there are {', '.join(self.use_cases)}")
+            for kind in told.kinds:
+                case = self.naming.by_kind.get(kind, self.naming.fallback)
+                if told.use_cases and case not in told.use_cases:
+                    raise ValueError(f"pools.{pool}.use_cases: {kind} is {case!r} by naming, which is not among them")
         self.routes()
         return self
 
--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -13,6 +13,7 @@
     def __init__(self, host, port, most=MOST, idle=IDLE):
         self.host, self.port, self.idle_for = host, port, idle
         self.idle, self.made, self._room = deque(), 0, asyncio.Semaphore(most)
+        self.spare = None               # kept open for small calls, so that no handshake stands before them
 
     async def get(self, within):
         """Raises OSError, or TimeoutError after `within` seconds. Give it back by `put` or `drop`."""
@@ -31,6 +32,39 @@
             self._room.release()
             raise
 
+    async def get_spare(self, within):
+        """The spare one if it is free and good, else as `get`. Raises as `get`."""
+        wire, self.spare = self.spare, None
+        if wire is not None:
+            if wire.idle():
+                await self._room.acquire()
+                return wire
+            wire.close()
+        return await self.get(within)
+
+    def put_spare(self, wire):
+        if self.spare is None and not wire.closed:
+            self.spare = wire
+            self._room.release()
+        else:
+            self.put(wire)
+
+    async def keep_spare(self, within):
+        """Opens the spare one if there is none; a failure is left to the next call."""
+        if self.spare is not None and self.spare.idle():
+            return
+        if self.spare is not None:
+            self.spare.close()
+            self.spare = None
+        try:
+            wire = await connect(self.host, self.port, within)
+        except OSError:
+            return
+        if self.spare is None:
+            self.made, self.spare = self.made + 1, wire
+        else:
+            wire.close()
+
     def put(self, wire):
         """After a whole answer that keeps the connection open."""
         self.idle.append((wire, asyncio.get_running_loop().time()))
@@ -48,5 +82,8 @@
             self.idle.popleft()[0].close()
 
     def close(self):
+        if self.spare is not None:
+            self.spare.close()
+            self.spare = None
         while self.idle:
             self.idle.pop()[0].close()
--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -23,6 +23,7 @@
 ANSWER_MOST = 64 << 20          # bytes of an answer that comes whole
 QUIET = 120.0                   # seconds without a byte of a stream that has begun
 EXTENSIONS = "kv-extensions"
+RELEASE_TRIES, RELEASE_PAUSE = 5, 0.05  # of letting go; seconds between
 
 
 def split_params(reads, state):
@@ -74,7 +75,7 @@
     def __init__(self, log, full=(429, 503), most=512, idle=10.0, connect_within=1.0, load="answers"):
         self.log, self.full, self.most, self.idle = log, full, most, idle
         self.connect_within, self.load = connect_within, load
-        self.workers, self.tasks = {}, set()
+        self.workers, self.tasks, self.holding = {}, set(), {}
 
     def know(self, box, address):
         """A worker's address; a change of it drops the old connections."""
@@ -114,20 +115,37 @@
         async def ask():
             held = False
             if "hold" in self.workers[box].extensions:
-                status, _, _ = await self._call(box, "POST", "/kv/hold", msgspec.json.encode(
-                    {"request_id": life.ask.name, "prompt_tokens": life.slip.prompt}))
-                held = status == 200
+                body = msgspec.json.encode({"request_id": life.ask.name, "prompt_tokens": life.slip.prompt})
+                try:
+                    async with asyncio.timeout(self.connect_within):
+                        status, _, _ = await self._call(box, "POST", "/kv/hold", body)
+                    held = status == 200
+                except (OSError, BadMessage):
+                    await self._release(life, box, None)    # unheard, it may be held all the same
             core.placed(life, box, held)
-        self._task(self._guarded(ask(), lambda: core.placed(life, box, False)))
+        task = self.holding[life.ask.name, box] = self._task(ask())
+        task.add_done_callback(lambda _: self.holding.pop((life.ask.name, box), None))
 
     def let_go(self, life, box, state):
-        if "release" not in self.workers[box].extensions:
-            return
+        if "release" in self.workers[box].extensions:
+            self._task(self._release(life, box, state, self.holding.get((life.ask.name, box))))
+
+    async def _release(self, life, box, state, after=None):
+        """Tried until it was heard; `after`: a hold under way, which must not come in behind it."""
+        if after is not None:
+            await asyncio.wait({after})
         what = {"request_id": life.ask.name}
         if state is not None:
             what |= {"remote_engine_id": state.get("remote_engine_id"),
                      "remote_block_ids": state.get("remote_block_ids")}
-        self._task(self._guarded(self._call(box, "POST", "/kv/release", msgspec.json.encode(what)), lambda: None))
+        body = msgspec.json.encode(what)
+        for _ in range(RELEASE_TRIES):
+            try:
+                async with asyncio.timeout(self.connect_within):
+                    await self._call(box, "POST", "/kv/release", body)
+                return
+            except (OSError, BadMessage):
+                await asyncio.sleep(RELEASE_PAUSE)
 
     def probe(self, core, box):
         async def ask():
@@ -147,7 +165,7 @@
     async def _call(self, box, method, path, body=b""):
         """One small exchange beside the questions: (status, headers, body)."""
         connections = self.workers[box].connections
-        wire = await connections.get(self.connect_within)
+        wire = await connections.get_spare(self.connect_within)
         parser = http.AnswerParser(1 << 20)
         try:
             await wire.send(http.request(method, path, {
@@ -160,7 +178,7 @@
         except BaseException:
             connections.drop(wire)
             raise
-        (connections.put if parser.keep_alive else connections.drop)(wire)
+        (connections.put_spare if parser.keep_alive else connections.drop)(wire)
         return parser.status, parser.headers, parser.take()
 
     def _end_of(self, out, task):
@@ -237,6 +255,8 @@
                 out.stage = proof.ANSWER
                 if EXTENSIONS in parser.headers:
                     worker.extensions = frozenset(parser.headers[EXTENSIONS].replace(",", " ").split())
+                    if worker.connections.spare is None:
+                        self._task(worker.connections.keep_spare(self.connect_within))
                 report = of_orca(parser.headers.get(HEADER))
                 if parser.status == 200 and parser.headers.get("content-type", "").startswith("text/event-stream"):
                     streams = _Stream(core, out, report)
--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -205,6 +205,8 @@
         estimator = core.estimator
         prompt = counted + (estimator.tokens(checked.model, weighed) if weighed else 0)
         use_case = names.use_case_of(naming, metadata, kind, checked.model)
+        if use_case not in core.use_cases:
+            raise bodies.Unfit(f"use case {use_case} is not served by {checked.model}", "model")
         prefix, prefix_bytes = names.beginning_of(kind, body)
         told = metadata.get("x-request-id", "")
         name = told if 0 < len(told) <= 64 and told.isascii() and told.replace("-", "").isalnum() else "q"
--- a/ramppulley/load/client.py
+++ b/ramppulley/load/client.py
@@ -34,13 +34,26 @@
         return choice["message"]["content"] if "message" in choice else choice["text"]
 
 
+def _last_look(wire, parser, reply):
+    """An answer that had crossed the socket when time ran out came in time, though this busy process had not read it."""
+    try:
+        while not parser.done:
+            data = wire.sock.recv(1 << 16)
+            if not data:
+                return
+            parser.feed(data)
+    except (OSError, BadMessage):
+        return
+    reply.status, reply.headers, reply.body, reply.done, reply.fault = parser.status, parser.headers, parser.take(), True, ""
+
+
 async def ask(host, port, path, body=None, headers=None, patience=30.0, method="POST", read_slowly=0.0, wire=None,
               gap=0.0, after_first=0.0):
     """One question on a connection of its own, or on `wire`, which is then left open. Never raises for what the
     other side does; `read_slowly`: seconds between reads, `gap`: before the first one;
     `after_first`: seconds that a stream may go on once it has begun, in place of `patience`.
     """
-    loop, reply, own = asyncio.get_running_loop(), Reply(), wire is None
+    loop, reply, own, parser = asyncio.get_running_loop(), Reply(), wire is None, None
     reply.sent, splitter = loop.time(), sse.Splitter(4 << 20)
     raw = b"" if body is None else body if isinstance(body, bytes) else msgspec.json.encode(body)
     try:
@@ -79,6 +92,8 @@
                     reply.done, reply.first = True, reply.first or loop.time()
     except TimeoutError:
         reply.fault = "gave up"
+        if parser is not None and not reply.events:
+            _last_look(wire, parser, reply)
     except BadMessage as fault:
         reply.fault = f"bad answer: {fault}"
     except OSError as fault:
--- a/ramppulley/load/run.py
+++ b/ramppulley/load/run.py
@@ -38,6 +38,8 @@
             "use_cases": USE_CASES, "accounts": accounts, "log": "json", "stop_within_s": 2.0,
             "naming": {"fallback": "afloat", "by_kind": {"embeddings": "search", "rerank": "search"}},
             "rules": {"cold_from": 0.3, "cold_for_s": 8.0, "cold_multiple": 4.0, "cold_window_s": 3.0}}
+    told["pools"] = {"chat": {"kinds": ["chat", "completion"], "models": [CHAT]},
+                     "vectors": {"kinds": ["embeddings", "rerank"], "models": [VECTORS], "use_cases": ["search"]}}
     told |= {k: {**told.get(k, {}), **v} if isinstance(v, dict) else v for k, v in {**day.orders, **more}.items()}
     if accounts:
         told["accounts"] = {n: {**a, "keys": [f"sk-{n}"]} for n, a in told["accounts"].items()}
@@ -83,7 +85,7 @@
         self.path.write_text(json.dumps(checked))
 
     async def start(self):
-        log = open(self.folder / f"{self.name}.log", "ab")
+        log = open(self.folder / f"{self.name}.log", "ab")  # noqa: ASYNC230
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "ramppulley", "serve", str(self.path), "--policy", self.policy,
             stdout=asyncio.subprocess.PIPE, stderr=log, env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])})
@@ -131,7 +133,7 @@
                   int(case.get("pace_s", 0.06) * S), case.get("benefit", 1.0), arrival.account, number)
     out.append(asked)
     reply = await ask("127.0.0.1", routers[number].port, path, body, headers,
-                      patience=min(patience, arrival.leaves or patience), after_first=30.0)
+                      patience=min(patience, arrival.leaves or patience), after_first=6.0)
     asked.ended, asked.status = int(reply.ended * S), reply.status
     asked.first = int(reply.first * S) if reply.first is not None else None
     retry = reply.headers.get("x-should-retry")
--- a/ramppulley/standin/demo.py
+++ b/ramppulley/standin/demo.py
@@ -26,7 +26,8 @@
     return Orders.model_validate({
         "zone": "north", "listen": {"port": port}, "workers": {"file": "workers.json5"},
         "pools": {"chat": {"kinds": ["chat", "completion"], "models": [CHAT]},
-                  "vectors": {"kinds": ["embeddings", "rerank"], "models": [VECTORS]}},
+                  "vectors": {"kinds": ["embeddings", "rerank"], "models": [VECTORS],
+                              "use_cases": ["search"]}},
         "use_cases": {
             "desk": {"promised_s": 2.0, "promised_s_per_k": 0.05, "outer_limit_s": 10.0, "benefit": 2.0},
             "afloat": {"promised_s": 1.0, "promised_s_per_k": 0.05, "outer_limit_s": 6.0},
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -120,7 +120,8 @@
             wait = 0.25 if due is None else max(0.0, min(0.25, due / S - loop.time()))
             self.wake.clear()
             try:
-                await asyncio.wait_for(self.wake.wait(), wait)
+                async with asyncio.timeout(wait):   # not wait_for, which may swallow the cancel that ends this task
+                    await self.wake.wait()
             except TimeoutError:
                 pass
 
@@ -204,6 +205,10 @@
             self.reports.pop(0)
         return self.reports[0][1]
 
+    async def _silence(self):
+        while self.silent_to:
+            await asyncio.sleep(0.02)
+
     async def _error(self, wire, status, code, text):
         body = msgspec.json.encode({"error": {"message": text, "type": "engine_error", "code": code}})
         await wire.send(http.answer(status, self._headers(), body))
@@ -212,8 +217,8 @@
     async def _answer(self, wire, request):
         """Answers one request; whether the connection stays open."""
         arrived = self.now()
-        while self.silent_to:
-            await asyncio.sleep(0.02)
+        if not request.path.startswith("/v1/"):     # questions are written down first: they arrived
+            await self._silence()
         if request.path in ("/health", "/metrics"):
             text = "".join(f"vllm:{name} {value}\n" for name, value in self._figures().items())
             await wire.send(http.answer(200, {**self._headers("text/plain")}, text.encode()))
@@ -265,6 +270,11 @@
 
     async def _take(self, wire, entry, job):
         """Offers the job; its queue of what is told, or None when it was refused and answered."""
+        try:
+            await self._silence()
+        except asyncio.CancelledError:
+            entry.ended, entry.how = self.now(), "withdrawn"
+            raise
         said = self.engine.offer(job, self.now())
         if said == "taken":
             queue = self.waits[job] = asyncio.Queue()
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -11,13 +11,14 @@
 class Wire:
     """One connected socket."""
 
-    __slots__ = ("sock", "loop", "_buffer", "_view", "closed", "opened")
+    __slots__ = ("sock", "loop", "_buffer", "_view", "closed", "opened", "_busy")
 
     def __init__(self, sock):
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.loop, self.closed, self.opened = sock, asyncio.get_running_loop(), False, None
+        self._busy = 0
         self._buffer = self._view = None
 
     async def receive(self, most=BUFFER):
@@ -25,11 +26,28 @@
         if self._buffer is None:
             self._buffer = bytearray(most)
             self._view = memoryview(self._buffer)
-        count = await self.loop.sock_recv_into(self.sock, self._view)
+        if self.closed:
+            raise ConnectionResetError("closed here")
+        self._busy += 1
+        try:
+            count = await self.loop.sock_recv_into(self.sock, self._view)
+        finally:
+            self._freed()
         return bytes(self._view[:count])
 
     async def send(self, data):
-        await self.loop.sock_sendall(self.sock, data)
+        if self.closed:
+            raise ConnectionResetError("closed here")
+        self._busy += 1
+        try:
+            await self.loop.sock_sendall(self.sock, data)
+        finally:
+            self._freed()
+
+    def _freed(self):
+        self._busy -= 1
+        if self.closed and not self._busy:
+            self.sock.close()
 
     def idle(self):
         """Whether an open connection at rest is still good: a peer that closed it, or spoke out of turn, is not."""
@@ -58,9 +76,17 @@
         self.close()
 
     def close(self):
-        if not self.closed:
-            self.closed = True
+        """A file number must not be free for others while the loop waits on it: then the wait is woken, and ends it."""
+        if self.closed:
+            return
+        self.closed = True
+        if not self._busy:
             self.sock.close()
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass                # already disconnected: the wait ends by itself
 
 
 async def connect(host, port, within):
--- /dev/null
+++ b/tests/test_checkers.py
@@ -0,0 +1,169 @@
+"""Stories of the rule checkers: each on a small piece of evidence, and on a router that is broken on purpose."""
+import pytest
+import structlog
+from rig import story
+
+from ramppulley import door
+from ramppulley.check import rules
+from ramppulley.check.evidence import Asked, Entry, Evidence, Held
+from ramppulley.load.day import Day, Fleet, Stream, Trouble, arrivals
+from ramppulley.load.run import play
+from ramppulley.rules import Router
+
+S = 10_000
+
+
+def asked(how="fulfilled", ended=S, effect="pure", **more):
+    return Asked("q", "chat", "c", effect, 0, 5 * S, S, ended=ended, how=how, finals=1, **more)
+
+
+def sent(at, ended, engine="w", what="write", how="answered", number=0, **more):
+    return Entry(engine, f"q.r0-1-s{number}", what, at, more.pop("opened", at), ended=ended, how=how, **more)
+
+
+def found(*entries, one=None, held=(), **more):
+    evidence = Evidence([one or asked()], list(entries), list(held), more.pop("listed", []), **more)
+    return [breach.rule for breach in rules.breaches(evidence)]
+
+
+def test_a_clean_run_has_no_breach():
+    assert found(sent(0, S // 2, "r", "read"), sent(S // 2, S, number=1)) == []
+
+
+def test_rule_1_sees_no_answer_two_answers_and_a_send_after_the_answer():
+    assert found(one=asked("lost")) == [1]
+    double = asked()
+    double.finals = 2
+    assert found(one=double) == [1]
+    assert found(sent(2 * S, 3 * S)) == [1]
+    assert found(one=asked(in_order=False)) == [1]
+    assert found(one=asked("lost"), killed=[(0, S // 2)]) == []
+
+
+def test_rule_2_sees_five_sends_two_at_once_and_an_effect_twice():
+    assert found(*(sent(i * 1500, i * 1500 + 1000, number=i) for i in range(5))) == [2]
+    assert found(sent(0, S), sent(S // 2, S, number=1)) == [2]
+    twice = sent(0, 2000, how="withdrawn"), sent(3000, S, number=1)
+    assert found(*twice) == [] and found(*twice, one=asked(effect="effectful")) == [2]
+    proved = sent(0, 2000, how="full"), sent(3000, S, number=1)
+    assert found(*proved, one=asked(effect="effectful")) == []
+    assert found(sent(0, 2000, ran=True), one=asked("turned back", effect="effectful")) == [2]
+
+
+def test_rule_2_keeps_a_receipt_in_its_group_and_window():
+    one, places = asked(effect="receipted", ended=9 * S), {"a": ("x", "n"), "b": ("y", "s")}
+    twice = sent(0, 2000, "a", how="cut"), sent(3000, 4000, "b", number=1)
+    assert found(*twice, one=one, places=places, windows={"c": ("zone", 6 * S)}) == [2]
+    assert found(*twice, one=one, places=places, windows={"c": ("all", 6 * S)}) == []
+    late = sent(0, 2000, "a", how="cut"), sent(8 * S, 9 * S, "a", number=1)
+    assert found(*late, one=one, places=places, windows={"c": ("zone", 6 * S)}) == [2]
+
+
+def test_rule_3_sees_work_after_the_grace_and_not_after_the_return():
+    listed = [(0, {"w": "ready"}), (S, {"w": "draining"}), (9 * S, {"w": "ready"})]
+    one = asked(ended=20 * S)
+    assert found(sent(2 * S, 3 * S), one=one, listed=listed) == []
+    assert found(sent(4 * S, 5 * S), one=one, listed=listed) == [3]
+    assert found(sent(10 * S, 11 * S), one=one, listed=listed) == []
+
+
+def test_rule_4_sees_a_cold_worker_sent_more_than_its_budget():
+    cold = {"w": (0.25, 8 * S, 4.0, 2 * S)}
+    one = asked(ended=20 * S)
+    entries = [sent(i * 100, S, number=i % 4, weight=S) for i in range(4)]
+    assert 4 in found(*entries, one=one, births=[("w", 0)], cold=cold)
+    assert 4 not in found(*entries[:2], one=one, births=[("w", 0)], cold=cold)
+    assert 4 not in found(*entries, one=one, births=[("w", -9 * S)], cold=cold)
+
+
+def test_rule_5_sees_a_state_that_waits_for_nobody():
+    held = Held("r", "q.r0-1-s0", "state", 1000, 9000, "let go")
+    one = asked(ended=2 * S)
+    assert found(sent(0, 1000, "r", "read"), held=[held], one=one) == [5]
+    assert found(sent(0, 1000, "r", "read"), sent(1200, 9000, number=1), held=[held], one=one) == []
+    assert found(held=[Held("r", "q.r0-1-s0", "state", 0)], one=one) == [5]
+    assert found(held=[Held("r", "q.r0-1-s0", "state", 0, 9 * S, "died")], one=one) == []
+
+
+def test_a_day_is_the_same_day_each_time():
+    day = Day(name="d", length_s=4, streams=[Stream(per_s=30)], troubles=[Trouble(what="burst", at_s=2, for_s=1)])
+    plan = arrivals(day)
+    assert plan == arrivals(day) and plan != arrivals(day.model_copy(update={"seed": 2}))
+    before, during = (sum(a <= q.at < a + 1 for q in plan) for a in (0, 2))
+    assert during > 2 * before
+
+
+class Host:
+    """Passes on all but what a mutant leaves out."""
+
+    def __init__(self, host, *without):
+        self.host, self.without = host, without
+
+    def __getattr__(self, word):
+        return (lambda *_: None) if word in self.without else getattr(self.host, word)
+
+
+class NeverTurnsBack(Router):
+    def __init__(self, host, **more):
+        super().__init__(Host(host, "turn_back"), **more)
+
+
+class NeverLetsGo(Router):
+    def __init__(self, host, **more):
+        super().__init__(Host(host, "let_go"), **more)
+
+
+class BelievesNothingRan(Router):
+    def outcome(self, now, slip, send, outcome, *more):
+        super().outcome(now, slip, send, outcome if outcome in (door.DONE, *door.NEVER_RAN) else door.STALE, *more)
+
+
+class _Listed(Router):
+    def change(self, box):
+        raise NotImplementedError
+
+    def listed(self, now, boxes):
+        for box in boxes:
+            self.change(box)
+        super().listed(now, boxes)
+
+
+class IgnoresDrains(_Listed):
+    def change(self, box):
+        box.state = "ready" if box.state == "draining" else box.state
+
+
+class IgnoresCold(_Listed):
+    def change(self, box):
+        box.born = None
+
+
+def day(streams, *troubles, **more):
+    return Day(name="mutant", seed=3, length_s=5, streams=streams, troubles=list(troubles),
+               fleet=Fleet(cells=1, list_lag_s=0.1, **more.pop("fleet", {})), **more)
+
+
+BOOKINGS = [Stream(use_case="booking", per_s=14, answer=(20, 60))]
+MUTANTS = [
+    (1, NeverTurnsBack, day([Stream(per_s=25, patience_s=1.0)], Trouble(what="crash", who="writer-*", count=2, at_s=1))),
+    (2, BelievesNothingRan, day(BOOKINGS, Trouble(what="crash", who="writer-0-0", at_s=1.5, for_s=2),
+                                Trouble(what="crash", who="writer-0-1", at_s=3, for_s=1))),
+    (3, IgnoresDrains, day([Stream(per_s=20)], Trouble(what="drain", who="writer-0-0", at_s=0.5, for_s=4),
+                           orders={"rules": {"drain_grace_s": 0.5}})),
+    (4, IgnoresCold, day([Stream(per_s=24, prompt=(700, 700), beginnings=0, turns=1, answer=(8, 12))],
+                         Trouble(what="crash", who="reader-0-0", at_s=0.7, for_s=0.3),
+                         fleet={"kinds": {"read": {"fall_multiple": 0.4}}}, orders={"rules": {"cold_multiple": 0.4}})),
+    (5, NeverLetsGo, day([Stream(per_s=20, impatient=0.5)], Trouble(what="crash", who="writer-*", count=2, at_s=2))),
+]
+
+
+@pytest.mark.parametrize("rule,mutant,told", MUTANTS, ids=[m[1].__name__ for m in MUTANTS])
+def test_a_router_broken_on_purpose_is_caught_and_the_real_one_is_not(rule, mutant, told):
+    @story
+    async def both():
+        log = structlog.get_logger()
+        broken = {b.rule for b in rules.breaches(await play(told, log, make=mutant))}
+        assert rule in broken, broken
+        kept = [str(b) for b in rules.breaches(await play(told, log, make=Router))]
+        assert kept == []
+    both()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -121,7 +121,8 @@
 @story
 async def test_wrong_paths_methods_keys_and_patience_are_refused():
     async with Rig({"accounts": {"werf": {"per_second": 5, "keys": ["sk-1"]}},
-                    "naming": {"fallback": "afloat", "keys_needed": True}}) as rig:
+                    "naming": {"fallback": "afloat", "by_kind": {"embeddings": "search", "rerank": "search"},
+                               "keys_needed": True}}) as rig:
         assert (await rig.ask("/v1/none", {})).status == 404
         assert (await rig.ask("/v1/chat/completions", None, method="GET")).status == 405
         assert (await rig.chat()).status == 401
