Benchmarks and soak; a place that came in behind its write is let go; smaller buffers

A place whose hold was not known before the write is now let go at the first token, and one that is held for nobody at once. Connections begin with 4 KiB buffers and grow only where filled.

--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -132,3 +132,12 @@
                               else [str(Path(sys.executable).parent / step[0])], cwd=root)
         if done.returncode:
             raise typer.Exit(done.returncode)
+
+
+@app.command()
+def bench(seconds: Annotated[float, typer.Option(help="of each part")] = 12.0,
+          soak: Annotated[float, typer.Option(help="instead: so many seconds at half load")] = 0.0,
+          json_: Annotated[bool, typer.Option("--json", help="one line of JSON a part")] = False):
+    """Measure what the router adds; ratios from one run, stand-in engines."""
+    from ramppulley.load.bench import main
+    main(seconds, soak, json_, typer.echo)
--- a/ramppulley/load/client.py
+++ b/ramppulley/load/client.py
@@ -61,6 +61,7 @@
             wire = wire or await connect(host, port, patience)
             await wire.send(http.request(method, path, {
                 "host": f"{host}:{port}", "content-type": "application/json", **(headers or {})}, raw))
+            limit.reschedule(loop.time() + patience)    # patience begins when the question was written
             if gap:
                 await asyncio.sleep(gap)
             parser = http.AnswerParser(256 << 20)
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -55,6 +55,8 @@
         if out.ended or life.ending is not None:
             return False
         out.first = life.first = self.clock.now()
+        if life.placed is None or life.placed > out.started:
+            self._let_place_go(life)    # the hold may have come in behind the write, which then took no place
         life.state = life.held_at = life.place = None
         self._tell(life, self.router.first_token, life.slip, out.send)
         return True
@@ -85,9 +87,13 @@
         self._forget(life)
 
     def placed(self, life, box, held):
+        if held and life.place is not box:
+            self.connector.let_go(life, box, None)      # nobody waits for it any more
+        elif held:
+            life.placed = self.clock.now()
+        elif life.place is box:
+            life.place = None
         if life.slip in self.lives:
-            if not held and life.place is box:
-                life.place = None
             self._tell(life, self.router.place, life.slip, box, held)
 
     def probed(self, box, outcome, report):
@@ -105,7 +111,7 @@
     def hold_place(self, slip, box):
         life = self.lives[slip]
         self._let_place_go(life)
-        life.place = box
+        life.place, life.placed = box, None
         self.connector.hold(self, life, box)
 
     def let_go(self, slip):
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -97,6 +97,7 @@
     state: Any = None               # waiting at `held_at`
     held_at: door.Box | None = None
     place: door.Box | None = None
+    placed: int | None = None       # when the place was told to be held
     first: int | None = None
     ended: int | None = None
     ending: Ending | None = None
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-BUFFER = 64 * 1024              # bytes read at once, and all that a connection keeps
+LEAST, BUFFER = 4 * 1024, 64 * 1024     # bytes read at once: a connection that fills its buffer gets a larger one
 
 
 class Wire:
@@ -21,11 +21,10 @@
         self._busy = 0
         self._buffer = self._view = None
 
-    async def receive(self, most=BUFFER):
+    async def receive(self):
         """The next bytes, b"" at the end; raises OSError. The buffer is made at the first call."""
         if self._buffer is None:
-            self._buffer = bytearray(most)
-            self._view = memoryview(self._buffer)
+            self._grow(LEAST)
         if self.closed:
             raise ConnectionResetError("closed here")
         self._busy += 1
@@ -33,7 +32,14 @@
             count = await self.loop.sock_recv_into(self.sock, self._view)
         finally:
             self._freed()
-        return bytes(self._view[:count])
+        got = bytes(self._view[:count])
+        if count == len(self._buffer) < BUFFER:     # much is coming: few streams of tokens ever need this
+            self._grow(min(BUFFER, 4 * count))
+        return got
+
+    def _grow(self, size):
+        self._buffer = bytearray(size)
+        self._view = memoryview(self._buffer)
 
     async def send(self, data):
         if self.closed:
