--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -123,17 +123,30 @@
                 except (OSError, BadMessage):
                     await self._release(life, box, None)    # unheard, it may be held all the same
             core.placed(life, box, held)
-        task = self.holding[life.ask.name, box] = self._task(ask())
-        task.add_done_callback(lambda _: self.holding.pop((life.ask.name, box), None))
+        self._in_turn(life, box, ask())
 
     def let_go(self, life, box, state):
         if "release" in self.workers[box].extensions:
-            self._task(self._release(life, box, state, self.holding.get((life.ask.name, box))))
-
-    async def _release(self, life, box, state, after=None):
-        """Tried until it was heard; `after`: a hold under way, which must not come in behind it."""
-        if after is not None:
-            await asyncio.wait({after})
+            self._in_turn(life, box, self._release(life, box, state))
+
+    def _in_turn(self, life, box, asking):
+        """One question's holds and releases at one worker go one after the other: on two connections they may overtake."""
+        key, before = (life.ask.name, box), self.holding.get((life.ask.name, box))
+
+        async def after():
+            if before is not None:
+                await asyncio.wait({before})
+            await asking
+
+        def over(task):
+            if self.holding.get(key) is task:
+                del self.holding[key]
+            asking.close()              # it was never begun if we were cancelled while waiting
+        task = self.holding[key] = self._task(after())
+        task.add_done_callback(over)
+
+    async def _release(self, life, box, state):
+        """Tried until it was heard, a few times at most."""
         what = {"request_id": life.ask.name}
         if state is not None:
             what |= {"remote_engine_id": state.get("remote_engine_id"),
--- a/ramppulley/load/bench.py
+++ b/ramppulley/load/bench.py
@@ -210,7 +210,7 @@
     now, waiting, times = 0, [], []
     report = door.Report(held=5.0, memory_share=0.3)
     gc.collect()
-    for number in range(questions):
+    for _ in range(questions):
         now += 50
         slip = door.Slip(case, chance.randint(100, 3000), 200, 80_000, f"s{chance.randrange(400)}",
                          f"p{chance.randrange(40)}", 400)
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -110,7 +110,8 @@
 
     def hold_place(self, slip, box):
         life = self.lives[slip]
-        self._let_place_go(life)
+        if life.place is not box:
+            self._let_place_go(life)
         life.place, life.placed = box, None
         self.connector.hold(self, life, box)
 
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -242,8 +242,9 @@
 
     async def _hold(self, wire, body):
         now, key = self.now(), str(body.get("request_id"))
-        held = self.engine.hold(key, int(body.get("prompt_tokens") or 0), now)
-        if held:
+        again = key in self.open_held
+        held = again or self.engine.hold(key, int(body.get("prompt_tokens") or 0), now)
+        if held and not again:
             self.open_held[key] = entry = Held(self.engine.name, key, "place", now)
             self.held.append(entry)
         await wire.send(http.answer(200 if held else 409, self._headers(), b"{}"))
