--- a/ramppulley/check/evidence.py
+++ b/ramppulley/check/evidence.py
@@ -50,6 +50,7 @@
     killed: list[tuple[int, int]] = []              # (router, when): what it held was no longer its duty
     cold: dict[str, tuple[float, int, float, int]] = {}     # worker -> cold part, cold time, multiple, window
     windows: dict[str, tuple[str, int]] = {}        # use case -> group and window of a receipt
+    unreachable: list[tuple[str, int, int]] = []    # worker, from, to: no router could tell it anything
     drain_grace: int = 20_000
     let_go_within: int = 3_000
     sends: int = 4
--- a/ramppulley/check/rules.py
+++ b/ramppulley/check/rules.py
@@ -136,6 +136,9 @@
             if entry.opened - at > evidence.let_go_within + SLACK:
                 break
             at = max(at, entry.ended if entry.ended is not None else at)
+        for worker, start, end in evidence.unreachable:     # the clock rests while nobody can tell it
+            if worker == held.engine and at < end and (until is None or until > start):
+                at = max(at, end)
         if until is None or until - at > evidence.let_go_within + SLACK:
             lasted = "until the end" if until is None else f"{(until - at) / 10:.0f} ms"
             yield Breach(5, name, f"a {held.what} at {held.engine} stayed {lasted} with no send out")
--- a/ramppulley/daemon/json5.py
+++ b/ramppulley/daemon/json5.py
@@ -23,8 +23,8 @@
     for name in path:
         if isinstance(name, int):
             for _ in range(name + 1):
-                step = text.find("{", at + 1)
-                at = step if step > 0 else at
+                step, end = text.find("{", at + 1), text.find("]", at)
+                at = step if 0 < step < end else at     # else a list of plain values, on one line as a rule
             continue
         found = re.compile(rf"""(?<![\w-])["']?{re.escape(str(name))}["']?\s*:""").search(text, at)
         if not found:
@@ -47,7 +47,10 @@
     except pyjson5.Json5Exception as fault:
         said = str(fault.args[0])
         place = re.search(r"near (\d+)", said)
-        line = text.count("\n", 0, int(place.group(1))) + 1 if place else text.count("\n") + 1
+        at, met = int(place.group(1)) if place else len(text), re.search(r"U\+([0-9A-F]+)", said)
+        if met:                         # the place is where the parser last was; the character it met comes after it
+            at = max(at, text.find(chr(int(met.group(1), 16)), at))
+        line = text.count("\n", 0, at) + 1
         raise BadFile(f"{name}:{line}: not JSON5: {said}") from fault
     try:
         return model.model_validate(told)
--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -23,7 +23,7 @@
 ANSWER_MOST = 64 << 20          # bytes of an answer that comes whole
 QUIET = 120.0                   # seconds without a byte of a stream that has begun
 EXTENSIONS = "kv-extensions"
-RELEASE_TRIES, RELEASE_PAUSE = 5, 0.05  # of letting go; seconds between
+RELEASE_TRIES, RELEASE_PAUSE, PAUSE_MOST = 24, 0.05, 1.0    # of letting go; seconds between, doubling up to
 
 
 def split_params(reads, state):
@@ -152,13 +152,13 @@
             what |= {"remote_engine_id": state.get("remote_engine_id"),
                      "remote_block_ids": state.get("remote_block_ids")}
         body = msgspec.json.encode(what)
-        for _ in range(RELEASE_TRIES):
+        for number in range(RELEASE_TRIES):         # also past a cut link: what it holds has no other end
             try:
                 async with asyncio.timeout(self.connect_within):
                     await self._call(box, "POST", "/kv/release", body)
                 return
             except (OSError, BadMessage):
-                await asyncio.sleep(RELEASE_PAUSE)
+                await asyncio.sleep(min(PAUSE_MOST, RELEASE_PAUSE * 2 ** number))
 
     def probe(self, core, box):
         async def ask():
--- a/ramppulley/load/run.py
+++ b/ramppulley/load/run.py
@@ -205,4 +205,5 @@
         [(n, at) for n, r in enumerate(routers) for at in getattr(r, "killed_at", ())],
         {n: (k.cold_from, k.cold_for, k.fall_multiple, k.fall_window) for n, k in kinds.items()},
         {name: (c["group"], int(c["window_s"] * S)) for name, c in USE_CASES.items() if "window_s" in c},
+        [(n, a, b if b is not None else 1 << 62) for n, s in fleet.standins.items() for a, b in s.unreachable],
         int(law.drain_grace_s * S), int(law.let_go_within_s * S), 4)
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -41,6 +41,7 @@
     since: int
     until: int | None = None
     how: str = ""
+    told: int | None = None     # when it first heard that it should let go
 
 
 class Standin:
@@ -54,7 +55,7 @@
         self.receipts, self.report, self.open_held = {}, (0, None), {}
         # faults
         self.silent_to, self.refuses, self.handshake, self.cut_part, self.corrupt_part = 0, None, 0.0, 0.0, 0.0
-        self.report_late, self.count, self.reports = 0, 0, []
+        self.report_late, self.count, self.reports, self.unreachable = 0, 0, [], []
 
     def now(self):
         return int(asyncio.get_running_loop().time() * S)
@@ -95,9 +96,11 @@
     async def cut_off(self):
         """No route to it: connections are reset, new ones refused; its engine runs on."""
         self.last_port = self.listener.port
+        self.unreachable.append([self.now(), None])
         await self.listener.stop()
 
     async def reach(self):
+        self.unreachable[-1][1] = self.now()
         if not self.engine.down:
             self.listener = Listener(self._serve, port=self.last_port).start()
 
@@ -145,7 +148,7 @@
     def _close_held(self, key, how, at=None):
         held = self.open_held.pop(key, None)
         if held:
-            held.until, held.how = self.now() if at is None else at, how
+            held.until, held.how = self.now() if at is None else min(at, held.told or at), how
 
     # One connection
     async def _serve(self, wire):
@@ -217,6 +220,8 @@
     async def _answer(self, wire, request):
         """Answers one request; whether the connection stays open."""
         arrived = self.now()
+        if request.path == "/kv/release":
+            self._heard(request.body, arrived)
         if not request.path.startswith("/v1/"):     # questions are written down first: they arrived
             await self._silence()
         if request.path in ("/health", "/metrics"):
@@ -250,6 +255,17 @@
         await wire.send(http.answer(200 if held else 409, self._headers(), b"{}"))
         return True
 
+    def _heard(self, raw, arrived):
+        """A silent engine was told in time, though it acts later, or never if the asker hung up meanwhile."""
+        try:
+            body = msgspec.json.decode(raw)
+            key = (body.get("remote_block_ids") or [str(body.get("request_id"))])[0]
+        except (msgspec.DecodeError, AttributeError, TypeError, IndexError):
+            return
+        if key in self.open_held:
+            held = self.open_held[key]
+            held.told = arrived if held.told is None else held.told
+
     async def _release(self, wire, body, arrived):
         key = body.get("remote_block_ids")
         if key:
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -85,6 +85,14 @@
     assert found(held=[Held("r", "q.r0-1-s0", "state", 0, 9 * S, "died")], one=one) == []
 
 
+def test_rule_5_rests_while_nobody_can_reach_the_worker():
+    held, one = Held("r", "q.r0-1-s0", "state", 1000, 9 * S, "let go"), asked(ended=10 * S)
+    read = sent(0, 1000, "r", "read")
+    assert found(read, held=[held], one=one, unreachable=[("r", 2000, 9 * S - 500)]) == []
+    assert found(read, held=[held], one=one, unreachable=[("r", 2000, 5 * S)]) == [5]
+    assert found(read, held=[held], one=one, unreachable=[("other", 2000, 9 * S)]) == [5]
+
+
 def test_a_day_is_the_same_day_each_time():
     day = Day(name="d", length_s=4, streams=[Stream(per_s=30)], troubles=[Trouble(what="burst", at_s=2, for_s=1)])
     plan = arrivals(day)
