--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -32,25 +32,27 @@
         fail(str(fault))
 
 
-async def until_told(seconds=None):
-    """Waits for SIGINT or SIGTERM, or so long."""
+def when_told():
+    """An event that SIGINT and SIGTERM set; made before anything says that it is ready."""
     loop, told = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, told.set)
-    try:
-        await asyncio.wait_for(told.wait(), seconds)
-    except TimeoutError:
-        pass
+    return told
 
 
 async def run(daemon, seconds=None):
+    told = when_told()
     try:
         await daemon.start()
     except (OSError, json5.BadFile) as fault:
         fail(str(fault))
     typer.echo(f"ready http://127.0.0.1:{daemon.front.port}")
     sys.stdout.flush()
-    await until_told(seconds)
+    try:
+        async with asyncio.timeout(seconds):
+            await told.wait()
+    except TimeoutError:
+        pass
     await daemon.stop()
 
 
