Module: draws kept for a question, other cells' readers sorted only when looked at

Each question drew lots for every reader and writer twice, sorted the other cells' readers for each of five writers though they are rarely looked at, and scored its writers twice. Draws now live with the question as long as the list stays, the sort is put off until the first of the others is asked for, and scores come with the ranking.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -97,6 +97,15 @@
     return part if bare else -log(part) / (worker.box.weight or 1)
 
 
+def in_order(things, most, key):
+    """The first of the things by a key, put in order only when the first one is asked for.
+
+    >>> list(in_order([3, 1, 2], 2, abs))
+    [1, 2]
+    """
+    yield from sorted(things, key=key)[:most]
+
+
 def lots_of(slip, readers):
     """What a question's beginning, else its session, draws for each reader."""
     key = crc32((slip.prefix or slip.session).encode())
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -5,11 +5,12 @@
 stands. Parts are actors: they write only their own fields and talk by notes; docs/design.md says why.
 """
 from collections import deque
+from itertools import chain, islice
 from random import Random
 from zlib import crc32
 
 from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, TOO_SLOW
-from ramppulley.parts import Actor, Figures, Kept, Roster, Send, busiest, lot, lots_of, mean, middle
+from ramppulley.parts import Actor, Figures, Kept, Roster, Send, busiest, in_order, lot, lots_of, mean, middle
 
 MS = 10                         # tenths of a millisecond
 SHORT_LIST, DRAWN = 5, 8        # writers kept; drawn to be looked at: all of a small fleet
@@ -251,8 +252,24 @@
         self.likely = slip.likely_out or slip.most_out // 3
         self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
         self.held_by, self.place, self.closed, self.streams = None, None, False, False
+        self.drawn = None, {}, {}               # the list that they were drawn from, lots, draws by sends
         self.asked, self.look_until = [], 0     # whom it asked for a place or a report; till when it waits
 
+    def lots(self):
+        """What its beginning draws for each reader, as long as the list stays."""
+        roster = self.router.roster
+        if self.drawn[0] is not roster:
+            self.drawn = roster, lots_of(self.slip, roster.readers), {}
+        return self.drawn[1]
+
+    def draws(self):
+        """What its session draws for each writer, anew for each send."""
+        self.lots()
+        if self.sends not in self.drawn[2]:
+            key = crc32(f"{self.slip.session} {self.sends}".encode())
+            self.drawn[2][self.sends] = {w: lot(key, w) for w in self.router.roster.writers}
+        return self.drawn[2][self.sends]
+
     def left_to(self):
         return self.leaves - MARGIN - self.now
 
@@ -406,8 +423,8 @@
         """Probes whom it may go to and whose report is old: probes grow with questions, not with routers."""
         slip, writers, readers = question.slip, self.drawn(question), self.router.roster.readers
         for home in writers[:1]:
-            near, other, short = self.around(slip, home, readers, lots_of(slip, readers))
-            writers[1:1] = (other if short else near)[:1]
+            near, other, short = self.around(slip, home, readers, question.lots())
+            writers[1:1] = list(islice(other if short else near, 1))
         for worker in writers[:LOOKS]:
             if not worker.probing and (not worker.reports or self.now - worker.reports[-1][0] >= PROBE_EVERY):
                 question.asked.append(worker)
@@ -432,7 +449,7 @@
         if reader is None or took > self.limit(question):
             return False
         same = [w for w in self.router.roster.writers if w.box.cell == writer.box.cell]
-        question.note("go", reader, list(dict.fromkeys([writer] + self.ranked(question, same))))
+        question.note("go", reader, list(dict.fromkeys([writer, *self.ranked(question, same)])))
         return True
 
     def on_serve(self):
@@ -473,9 +490,8 @@
     def drawn(self, question):
         """A few usable writers, drawn by the session, which so finds its home, the cell of the first, at each
         router: with the same old reports they must not all pick the same best."""
-        key = crc32(f"{question.slip.session} {question.sends}".encode())
         usable = [w for w in self.router.roster.writers if w.usable() and question.may_run_at(w)]
-        drawn = sorted(usable, key=lambda w: lot(key, w))[:DRAWN]
+        drawn = sorted(usable, key=question.draws().get)[:DRAWN]
         return sorted(drawn, key=lambda w: w.box.zone != self.zone)
 
     def worker_score(self, worker, slip):
@@ -490,7 +506,8 @@
     def ranked(self, question, writers):
         usable = [w for w in dict.fromkeys(writers) if w.usable() and question.may_run_at(w)]
         sure = [w for w in usable if not w.doubted or question.slip.use_case.effect == "pure"]
-        return sorted(sure or usable, key=lambda w: self.writer_score(w, question))
+        scores = {w: self.writer_score(w, question) for w in sure or usable}
+        return {w: scores[w] for w in sorted(scores, key=scores.get)}   # best first, with what it scored
 
     def pair(self, question):
         """(expected time to the first token, reader, writer), without them if there is none."""
@@ -498,18 +515,22 @@
         ranked = self.ranked(question, drawn)
         crossing = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
         readers = [r for r in self.router.roster.readers if r.usable() and question.may_run_at(r)]
-        lots, weighed, best = lots_of(slip, readers), {}, None
+        lots, weighed, best = question.lots(), {}, None
         alone = not self.router.roster.readers      # departure: only mixed ones, which read all
-        for writer in ranked[:SHORT_LIST]:
+        for writer in list(ranked)[:SHORT_LIST]:
             near, other, short = self.around(slip, writer, readers, lots)
             cell = writer.box.cell
-            own = self.writer_score(writer, question) + (writer in question.tried)
+            own = ranked[writer] + (writer in question.tried)
             soonest = scale
             across = crossing if short else max(FAR_CELL, crossing)
-            for far, favourite, reader in [(short * FAR_CELL, not i, r) for i, r in enumerate(near)] + [
-                    (0, False, writer)] * writer.reads + [(across, not i, r) for i, r in enumerate(other)]:
-                if reader.box.cell != cell and not short and soonest <= FAR_AFTER * scale:
+            own_cell = [(short * FAR_CELL, not i, r) for i, r in enumerate(near)]
+            own_cell += [(0, False, writer)] * writer.reads
+            for far, favourite, reader in chain(
+                    own_cell, [(0, False, None)], ((across, not i, r) for i, r in enumerate(other))):
+                if (not reader or reader.box.cell != cell) and not short and soonest <= FAR_AFTER * scale:
                     break       # else a departure: its cell's readers are gone, few or far behind
+                if not reader:
+                    continue    # the others are put in order only if they are looked at
                 key = reader, favourite, favourite and writer is drawn[0]
                 if key not in weighed:
                     weighed[key] = self.weigh(question, *key)
@@ -530,10 +551,10 @@
         """A writer's readers, near and other, favourites first; whether it uses others: racks differ."""
         reach, cell, zone = self.router.roster.reach, writer.box.cell, writer.box.zone
         near = sorted((r for r in readers if r.box.cell == cell), key=lots.get)
-        other = sorted((r for r in readers if r.box.cell != cell), key=lambda r: lots[r] / max(
+        other = in_order((r for r in readers if r.box.cell != cell), DRAWN, lambda r: lots[r] / max(
             0.1, reach[r.box.cell] - 1) * (1 if r.box.zone == zone else OTHER_ZONE))
         short = lot(crc32(slip.session.encode()), writer, True) > NEAR_REACH * reach.get(cell, 0)
-        return near, other[:DRAWN], short
+        return near, other, short
 
     def weigh(self, question, reader, favourite, home):
         """(time, score) of reading there; a favourite holds most of the beginning, at home some own text."""
