--- a/ramppulley/service/events.py
+++ b/ramppulley/service/events.py
@@ -109,7 +109,7 @@
 class Recorder:
     """A Router's stand-in towards its host: the same event methods, each written down before it is passed on.
 
-    What it keeps in memory lives as long as the module's own objects; the file grows by about 40 bytes an event.
+    What it keeps in memory lives as long as the module's own objects; the file grows by some 16 bytes an event.
     """
 
     def __init__(self, router_class, path, host, *, seed, routers, zone, use_cases, accounts, permits, lawbook, now=0,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -176,6 +176,17 @@
     assert len(it.fake.of("let_go")) == before + 1 and empty(it)
 
 
+def test_answers_of_one_token_do_not_make_a_writer_look_slow():
+    it = world()
+    for _ in range(3):
+        it.core.take(Ask("q.r0-0", CHAT, "m", "c", {}, 6 * S, 100, most_out=1), it.fake)
+        read(it)
+        it.core.first(out(it))
+        it.clock.run_to(it.clock.now() + 8)         # a token's end takes a moment
+        it.core.ended(out(it), End(door.DONE))
+    assert all(w.figures().slowness <= 0 for w in it.core.router.workers.values())
+
+
 def test_a_fault_in_the_module_costs_one_question():
     it = world()
     take(it)
