--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -25,11 +25,11 @@
     def take(self, ask, sink):
         """From here one final answer is owed; it comes by `sink.final`, perhaps before this returns."""
         now, use_case = self.clock.now(), self.use_cases[ask.use_case]
-        one_stage = ask.kind in ONE_STAGE
+        short = ask.kind in ONE_STAGE or ask.most_out < 3
         # an answer of a token or two has a pace only if it has a length: a third of it would be none
         slip = door.Slip(
             use_case, prompt=max(1, ask.prompt), most_out=ask.most_out, patience=ask.patience, session=ask.session,
-            prefix=ask.prefix, prefix_tokens=min(ask.prefix_tokens, ask.prompt), likely_out=1 if one_stage or ask.most_out < 3 else None,
+            prefix=ask.prefix, prefix_tokens=min(ask.prefix_tokens, ask.prompt), likely_out=1 if short else None,
             account=self.accounts.get(ask.account, len(self.accounts)))
         life = self.lives[slip] = Life(ask, slip, sink, now)
         self.taken += 1
