Names of workers by a kept map; dead code out

The record asked a worker's name for each send, and each time two maps of the whole fleet were made for it. The fleet keeps one now. Unused fields of the stand-in and an import are gone.

--- a/ramppulley/fleet/listing.py
+++ b/ramppulley/fleet/listing.py
@@ -58,14 +58,10 @@
     """Boxes by name; `update` brings them to a new list and tells what changed, by pool."""
 
     def __init__(self):
-        self.boxes, self.entries = {}, {}
+        self.boxes, self.entries, self.names = {}, {}, {}     # names: by box, also of those that are gone
 
     def name_of(self, box):
-        return self.names[box] if box in self.names else "?"
-
-    @property
-    def names(self):
-        return {box: name for name, box in self.boxes.items()}
+        return self.names.get(box, "?")
 
     def update(self, entries, now, wall):
         """`now`: the router's clock; `wall`: seconds since 1970 at that moment. Returns [(pool, box, address)].
@@ -88,6 +84,7 @@
                 box = self.boxes[entry.name] = door.Box(
                     mark=crc32(entry.name.encode()), role="both" if entry.role == "pool" else entry.role,
                     cell=0, zone=0, memory=0)
+                self.names[box] = entry.name
             box.cell, box.zone = crc32(entry.cell.encode()), crc32(entry.zone.encode())
             box.memory, box.weight, box.state = entry.memory_tokens, entry.weight, entry.state
             if old is None or old.started != entry.started:
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -53,7 +53,7 @@
         self.ledger = [] if ledger is None else ledger
         self.held = [] if held is None else held
         self.waits, self.listener, self.wake, self.pump = {}, None, asyncio.Event(), None
-        self.receipts, self.report, self.open_held = {}, (0, None), {}
+        self.receipts, self.open_held = {}, {}
         # faults
         self.silent_to, self.refuses, self.handshake, self.cut_part, self.corrupt_part = 0, None, 0.0, 0.0, 0.0
         self.report_late, self.count, self.reports, self.unreachable = 0, 0, [], []
@@ -77,10 +77,8 @@
             await asyncio.gather(self.pump, return_exceptions=True)
             self.pump = None
         if self.listener:
-            port, tasks = self.listener.port, set(self.listener.tasks)
+            self.last_port = self.listener.port
             await self.listener.stop()
-            del tasks
-            self.last_port = port
         self.engine.down = True
         now = self.now()
         for held in self.open_held.values():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies as st
 
 from ramppulley import door
-from ramppulley.daemon.daemon import Daemon  # noqa: F401  (the whole program imports on its own)
 from ramppulley.rules import Router
 from ramppulley.service.clock import PlayedClock
 from ramppulley.service.core import Core
