Orders of draws kept for a list, figures by role, ticks only where a token is owed

Change: what keys draw for a list is put in order once for all routers that have the list and kept (bounded); a worker's figures and the fleet's are worked out only where its role is asked for them; a tick goes to workers that may owe a first token; questions without a token stand in a queue of their own; the kept texts' total is carried along.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -1,8 +1,7 @@
 """What the decisions are built from, itself without any: actors, kept texts, the roster, lots, middles."""
 from collections import deque, namedtuple
+from functools import lru_cache
 from math import log
-from statistics import median
-from zlib import crc32
 
 #: What a worker is taken to have: memory load, time to the first token, time per unread token, tokens ahead,
 #: streams' lateness, streams' time.
@@ -48,17 +47,23 @@
     """
 
     def __init__(self, memory):
-        self.memory, self.tokens = memory, {}
+        self.memory, self.tokens, self.total = memory, {}, 0
 
     def add(self, text, tokens):
         if not text:            # no name to find it by: embeddings and such have no session
             return
-        self.tokens[text] = max(tokens, self.tokens.pop(text, 0))
-        while len(self.tokens) > TEXTS or (self.memory and sum(self.tokens.values()) > self.memory):
-            del self.tokens[next(iter(self.tokens))]
+        known = self.tokens.pop(text, 0)
+        self.tokens[text] = max(tokens, known)
+        self.total += self.tokens[text] - known
+        while len(self.tokens) > TEXTS or (self.memory and self.total > self.memory):
+            self.total -= self.tokens.pop(next(iter(self.tokens)))
+
+    def clear(self):
+        self.tokens, self.total = {}, 0
 
     def of(self, slip):
-        return max(self.tokens.get(slip.session, 0), self.tokens.get(slip.prefix, 0))
+        own, shared = self.tokens.get(slip.session, 0), self.tokens.get(slip.prefix, 0)
+        return own if own > shared else shared
 
 
 class Roster:
@@ -66,14 +71,14 @@
 
     >>> from types import SimpleNamespace as N
     >>> def worker(role, cell):
-    ...     return N(state="ready", writes=role != "read", box=N(role=role, cell=cell, weight=1))
+    ...     return N(state="ready", writes=role != "read", box=N(role=role, cell=cell, zone=0, weight=1, mark=cell))
     >>> roster = Roster([worker("read", 0), worker("read", 0), worker("write", 0), worker("write", 1)])
     >>> len(roster.readers), len(roster.writers), roster.reach
     (2, 2, {0: 2.0, 1: 0.0})
     """
 
     def __init__(self, workers):
-        ready, self.by_role = [w for w in workers if w.state == "ready"], {}
+        ready, self.by_role, self.cells = [w for w in workers if w.state == "ready"], {}, {}
         for worker in ready:
             self.by_role.setdefault(worker.box.role, []).append(worker)
         self.readers, self.writers = self.by_role.get("read", []), [w for w in ready if w.writes]
@@ -81,35 +86,87 @@
         for worker in ready:
             part = weight[worker.writes]
             part[worker.box.cell] = part.get(worker.box.cell, 0) + worker.box.weight
+            if worker.writes:
+                self.cells.setdefault(worker.box.cell, []).append(worker)
         read, write = (sum(part.values()) or 1 for part in weight)
         self.reach = {cell: weight[0].get(cell, 0) / read * write / (weight[1].get(cell, 0) or write)
                       for cell in {**weight[0], **weight[1]}}
+        self.reads_drawn, self.writes_drawn = (draws_of(tuple(
+            [(w.box.mark, w.box.weight, w.box.cell, w.box.zone, self.reach[w.box.cell]) for w in some]))
+            for some in (self.readers, self.writers))
 
     def like(self, worker):
         return self.by_role.get(worker.box.role, [])
 
 
-def lot(key, worker, bare=False):
-    """What a key draws for a worker: the same at all routers; least wins, as often as the worker is heavy."""
-    mixed = ((key ^ worker.box.mark) * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    mixed = ((mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
-    part = ((mixed >> 32) + 1) / 2 ** 32
-    return part if bare else -log(part) / (worker.box.weight or 1)
+MIX, MIX_MORE, WORD = 0x9E3779B97F4A7C15, 0xD6E8FEB86659FD93, 0xFFFFFFFFFFFFFFFF
+DRAWN_KEYS, DRAWN_LISTS = 1024, 16      # kept at once: keys of a list; lists, which routers may see at other times
 
 
-def in_order(things, most, key):
-    """The first of the things by a key, put in order only when the first one is asked for.
+class Draws:
+    """What keys draw for the workers of a list, as places in it: the same at all routers that have the list.
 
-    >>> list(in_order([3, 1, 2], 2, abs))
-    [1, 2]
-    """
-    yield from sorted(things, key=key)[:most]
+    A worker's lot is least, and so wins, as often as it is heavy. An order is made when it is first asked for.
 
+    >>> draws = Draws(((7, 1.0, 0, 0, 1.0), (8, 1.0, 0, 0, 1.0), (9, 1.0, 1, 0, 1.0)))
+    >>> draws.order(5), draws.near(5, 0), draws.other(5, 0, 0, 4)
+    ((0, 1, 2), (0, 1), (2,))
+    """
 
-def lots_of(slip, readers):
-    """What a question's beginning, else its session, draws for each reader."""
-    key = crc32((slip.prefix or slip.session).encode())
-    return {r: lot(key, r) for r in readers}
+    def __init__(self, told):
+        self.marks = [mark for mark, *_ in told]
+        self.weights = [weight or 1 for _, weight, *_ in told]
+        self.told, self.orders = told, {}
+
+    def lots(self, key):
+        lots = []
+        for mark, weight in zip(self.marks, self.weights):
+            mixed = ((key ^ mark) * MIX) & WORD
+            mixed = ((mixed ^ mixed >> 32) * MIX_MORE) & WORD
+            lots.append(-log(((mixed >> 32) + 1) / 2 ** 32) / weight)
+        return lots
+
+    def kept(self, key):
+        known = self.orders.get(key)
+        if known is None:
+            while len(self.orders) >= DRAWN_KEYS:
+                del self.orders[next(iter(self.orders))]
+            known = self.orders[key] = {None: self.lots(key)}
+        return known
+
+    def order(self, key):
+        known = self.kept(key)
+        if 0 not in known:
+            lots = known[None]
+            known[0] = tuple(sorted(range(len(lots)), key=lots.__getitem__))
+        return known[0]
+
+    def near(self, key, cell):
+        """The places of a cell's workers."""
+        known, what = self.kept(key), (cell,)
+        if what not in known:
+            known[what] = tuple([i for i in self.order(key) if self.told[i][2] == cell])
+        return known[what]
+
+    def other(self, key, cell, zone, times):
+        """Those of other cells, rarer by their cell's want of readers, and so many times so from another zone."""
+        known, what = self.kept(key), (cell, zone)
+        if what not in known:
+            lots = [lot / max(0.1, reach - 1) * (1 if its == zone else times)
+                    for lot, (_, _, _, its, reach) in zip(known[None], self.told)]
+            known[what] = tuple(sorted([i for i, told in enumerate(self.told) if told[2] != cell],
+                                       key=lots.__getitem__))
+        return known[what]
+
+
+draws_of = lru_cache(maxsize=DRAWN_LISTS)(Draws)
+
+
+def lot(key, worker):
+    """What a key draws for one worker, from 0 to 1 evenly."""
+    mixed = ((key ^ worker.box.mark) * MIX) & WORD
+    mixed = ((mixed ^ mixed >> 32) * MIX_MORE) & WORD
+    return ((mixed >> 32) + 1) / 2 ** 32
 
 
 def busiest(many, count):
@@ -124,7 +181,15 @@
 
 
 def middle(figures):
-    return median(figures) if figures else None
+    """The median, None of nothing.
+
+    >>> middle([3, 1, 2]), middle([1, 2]), middle([])
+    (2, 1.5, None)
+    """
+    if not figures:
+        return None
+    ordered, half = sorted(figures), len(figures) // 2
+    return ordered[half] if len(ordered) % 2 else (ordered[half - 1] + ordered[half]) / 2
 
 
 def mean(figures):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -5,12 +5,12 @@
 stands. Parts are actors: they write only their own fields and talk by notes; docs/design.md says why.
 """
 from collections import deque
-from itertools import chain, islice
+from operator import attrgetter
 from random import Random
 from zlib import crc32
 
 from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, TOO_SLOW
-from ramppulley.parts import Actor, Figures, Kept, Roster, Send, busiest, in_order, lot, lots_of, mean, middle
+from ramppulley.parts import Actor, Figures, Kept, Roster, Send, busiest, lot, mean, middle
 
 MS = 10                         # tenths of a millisecond
 SHORT_LIST, DRAWN = 5, 8        # writers kept; drawn to be looked at: all of a small fleet
@@ -44,6 +44,7 @@
     def __init__(self, router, box, lawbook, routers, probes, chance):
         super().__init__(router)
         self.box, self.lawbook, self.routers, self.probes, self.chance = box, lawbook, routers, probes, chance
+        self.place = len(router.workers)        # among all that were ever listed
         self.name, self.speaks = box.mark % 9973, min(routers, SPEAKS_FOR)
         self.reads, self.writes = box.role != "write", box.role != "read"
         self.state, self.born, self.probing, self.missed = box.state, box.born, False, 0
@@ -52,38 +53,44 @@
         # samples and times: first tokens, time per token read, slips refused, streams' lateness, streams
         self.waits, self.paces, self.refused, self.streamed, self.turnover = (
             deque(maxlen=SAMPLES) for _ in range(5))
-        self.heard, self.told, self.cold_next, self.worked_out = self.now, 0, 0, ((0, -1), None)
+        self.heard, self.told, self.cold_next = self.now, 0, 0
+        self.worked_out, self.worked_at, self.worked_turn = None, 0, -1
         self.doubted, self.doubted_at, self.trial_at, self.strikes = "", 0, 0, 0
 
     def recent(self, samples):
-        return [figure for at, figure in samples if at > self.router.clock - FRESH]
+        since = self.router.clock - FRESH
+        return [figure for at, figure in samples if at > since] if samples else []
 
     def figures(self):
         """Worked out once a turn; a worker that told nothing of late has the figures of the average one."""
-        now, (at, turn) = self.router.clock, self.worked_out[0]
-        if turn != self.turn or now - at > TICK // 2:
-            usual = self.router.fleet(self)
-            if self.out or now - self.told < FRESH:
-                pace = middle(self.recent(self.paces)) or usual.pace
-                told, held, room = self.others(pace), self.share(), max(1, self.box.memory)
-                load = ((usual.load if held is None else held) + self.ours(False) * self.speaks / room) / 2
-                wait = self.write_wait(usual, (held or 0) + (told or 0) / room - FULL)
-                ahead = (usual.ahead if told is None else told) + sum(
-                    s.unread for s in self.out if not s.first)
-                slowness = max(-0.5, min(1.5, (mean(self.recent(self.streamed)) or 1.0) - 1))
-                usual = Figures(load, wait, pace, ahead, slowness, 0)
-            else:
-                usual = usual._replace(load=usual.load / 2)
-            self.worked_out = (now, self.turn), usual
-        return self.worked_out[1]
+        now = self.router.clock
+        if self.worked_turn != self.turn or now - self.worked_at > TICK // 2:
+            self.worked_at, self.worked_turn = now, self.turn
+            usual, idle = self.router.fleet(self)
+            self.worked_out = self.own(usual) if self.out or now - self.told < FRESH else idle
+        return self.worked_out
+
+    def own(self, usual):
+        """What its role is asked for: of a reader how fast it reads, of a writer how full and slow it is."""
+        load, wait, ahead, slowness = 0.0, 0, 0, 0.0
+        pace = self.reads and middle(self.recent(self.paces)) or usual.pace
+        told = self.others(pace)
+        if self.writes:
+            held, room = self.share(), max(1, self.box.memory)
+            load = ((usual.load if held is None else held) + self.ours(False) * self.speaks / room) / 2
+            wait = self.write_wait(usual, (held or 0) + (told or 0) / room - FULL)
+            slowness = max(-0.5, min(1.5, (mean(self.recent(self.streamed)) or 1.0) - 1))
+        if self.reads:
+            ahead = (usual.ahead if told is None else told) + sum([s.unread for s in self.out if not s.first])
+        return Figures(load, wait, pace, ahead, slowness, 0)
 
     def read_time(self, unread):
         figures = self.figures()
         return int((unread + figures.ahead + READ_FLOOR) * figures.pace)
 
     def ours(self, reads):
-        out = [s for s in self.out if s.reads == reads or self.box.role == "both"]
-        return sum(s.unread if reads else s.memory for s in out)
+        out = [s for s in self.out if s.reads == reads or self.box.role == "both"] if self.out else ()
+        return sum([s.unread if reads else s.memory for s in out])
 
     def others(self, pace):
         if not self.reports:
@@ -93,24 +100,28 @@
         return max(0, told * (1 - age / FRESH) if self.writes else told - age / pace)
 
     def share(self):
+        if not self.reports:
+            return None
         now = self.ours(False)      # each of the last reports is moved by what routers like us sent since
         told = [r.memory_share + (now - ours) * self.speaks / max(1, self.box.memory)
                 for at, r, _, ours in self.reports if r.memory_share is not None and self.now - at < FRESH]
         return max(0.0, mean(told)) if told else None
 
     def write_wait(self, usual, over):
-        late = max((self.now - s.start for s in self.out if not s.reads and not s.first), default=0)
-        base = middle([f for at, f in self.waits if self.now - at < FRESH // 3])
+        now = self.now
+        late = max([now - s.start for s in self.out if not s.reads and not s.first], default=0)
+        base = middle([f for at, f in self.waits if now - at < FRESH // 3])
         return int(max(usual.wait if base is None else base, late // 2, over * usual.stays))
 
     def turns_away(self, slip):
         """How surely this party's or use case's questions are turned away as full here."""
-        return max(((same.use_case is slip.use_case) + (same.account == slip.account)) / 2 * (
-            1 - (self.now - at) / REFUSED_FOR) for at, same in self.refused) if self.refused else 0.0
+        now, case, account = self.now, slip.use_case, slip.account
+        return max([((same.use_case is case) + (same.account == account)) / 2 * (1 - (now - at) / REFUSED_FOR)
+                    for at, same in self.refused]) if self.refused else 0.0
 
     def quiet(self):
         waiting = [s.start for s in self.out if not s.first]
-        return self.now - max(self.heard, min(waiting)) if waiting else 0
+        return self.router.clock - max(self.heard, min(waiting)) if waiting else 0
 
     def cold(self):
         return self.born is not None and self.now - self.born < self.lawbook.cold_for
@@ -125,7 +136,8 @@
         return int(span * len(same) / (count * law.cold_multiple * (law.cold_from + grown) * COLD_SHARE))
 
     def open(self):
-        return self.state == "ready" and not (self.cold() and self.now < self.cold_next)
+        warm = self.born is None or not self.cold()
+        return self.state == "ready" and (warm or self.now >= self.cold_next)
 
     def usable(self):
         return self.open() and (not self.doubted or (
@@ -135,7 +147,7 @@
         if state != self.state:
             self.router.host.log(f"worker {self.name} {self.state} -> {state}, {len(self.out)} out")
         if born != self.born or (self.state == "gone" and state == "ready"):
-            for old in (self.kept.tokens, self.reports, self.refused):
+            for old in (self.kept, self.reports, self.refused):
                 old.clear()
             self.doubted, self.strikes, self.born = "", 0, born
             if self.cold():     # all routers hear of it at once: each begins at its own time
@@ -170,7 +182,7 @@
             self.paces.append((now, took / (send.unread + send.ahead + READ_FLOOR)))
         if outcome == READ or (outcome == DONE and self.reads):
             if kept < (slip.prompt - send.unread) // 2:     # it forgot what it had kept: so it has for others
-                self.kept.tokens.clear()
+                self.kept.clear()
             self.kept.add(slip.session, slip.prompt)
             self.kept.add(slip.prefix, slip.prefix_tokens)
         elif outcome in (CUT, NO_ROUTE):
@@ -252,29 +264,16 @@
         self.likely = slip.likely_out or slip.most_out // 3
         self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
         self.held_by, self.place, self.closed, self.streams = None, None, False, False
-        self.drawn = None, {}, {}               # the list that they were drawn from, lots, draws by sends
+        self.draws, self.home = [crc32(text.encode()) for text in (slip.prefix or slip.session, slip.session)]
         self.asked, self.look_until = [], 0     # whom it asked for a place or a report; till when it waits
 
-    def lots(self):
-        """What its beginning draws for each reader, as long as the list stays."""
-        roster = self.router.roster
-        if self.drawn[0] is not roster:
-            self.drawn = roster, lots_of(self.slip, roster.readers), {}
-        return self.drawn[1]
-
-    def draws(self):
-        """What its session draws for each writer, anew for each send."""
-        self.lots()
-        if self.sends not in self.drawn[2]:
-            key = crc32(f"{self.slip.session} {self.sends}".encode())
-            self.drawn[2][self.sends] = {w: lot(key, w) for w in self.router.roster.writers}
-        return self.drawn[2][self.sends]
-
     def left_to(self):
         return self.leaves - MARGIN - self.now
 
     def may_run_at(self, worker):
         """Rule 2: whether another send, writing at this worker, keeps effects single."""
+        if not self.out and not self.maybe_ran:
+            return True
         case = self.slip.use_case
         if self.out or case.effect == "pure" or not self.maybe_ran:
             return not self.out
@@ -354,7 +353,7 @@
     def hand_over(self):
         """The state waits: the writer with its place or the fixed one takes it, else the next of its cell."""
         desk, cell, most = self.router.desk, self.held_by.box.cell, FAR_AFTER * self.promised
-        near = self.writers + [w for w in self.router.roster.writers if w.box.cell == cell] + desk.drawn(self)
+        near = self.writers + self.router.roster.cells.get(cell, []) + desk.drawn(self)
         order = [w for w in desk.ranked(self, near) if w not in self.tried]
         far = {w: FAR_CELL * self.promised * (w.box.cell != cell) for w in order}
         listed = {w: i for i, w in enumerate(self.writers)}
@@ -421,10 +420,12 @@
 
     def look(self, question):
         """Probes whom it may go to and whose report is old: probes grow with questions, not with routers."""
-        slip, writers, readers = question.slip, self.drawn(question), self.router.roster.readers
+        writers, roster = self.drawn(question), self.router.roster
         for home in writers[:1]:
-            near, other, short = self.around(slip, home, readers, question.lots())
-            writers[1:1] = list(islice(other if short else near, 1))
+            cell = home.box.cell
+            places = self.others(question, home) if self.uses_others(question, home) else (
+                roster.reads_drawn.near(question.draws, cell))
+            writers[1:1] = [roster.readers[i] for i in places[:1]]
         for worker in writers[:LOOKS]:
             if not worker.probing and (not worker.reports or self.now - worker.reports[-1][0] >= PROBE_EVERY):
                 question.asked.append(worker)
@@ -448,8 +449,8 @@
         took, reader, writer = self.pair(question)
         if reader is None or took > self.limit(question):
             return False
-        same = [w for w in self.router.roster.writers if w.box.cell == writer.box.cell]
-        question.note("go", reader, list(dict.fromkeys([writer, *self.ranked(question, same)])))
+        same = self.ranked(question, self.router.roster.cells[writer.box.cell])
+        question.note("go", reader, list(dict.fromkeys([writer, *same])))
         return True
 
     def on_serve(self):
@@ -490,13 +491,20 @@
     def drawn(self, question):
         """A few usable writers, drawn by the session, which so finds its home, the cell of the first, at each
         router: with the same old reports they must not all pick the same best."""
-        usable = [w for w in self.router.roster.writers if w.usable() and question.may_run_at(w)]
-        drawn = sorted(usable, key=question.draws().get)[:DRAWN]
+        roster, drawn = self.router.roster, []
+        for place in roster.writes_drawn.order(crc32(f"{question.slip.session} {question.sends}".encode())):
+            worker = roster.writers[place]
+            if worker.usable() and question.may_run_at(worker):
+                drawn.append(worker)
+                if len(drawn) == DRAWN:
+                    break
         return sorted(drawn, key=lambda w: w.box.zone != self.zone)
 
     def worker_score(self, worker, slip):
-        return (FAR_ZONE * (worker.box.zone != self.zone) + REFUSED_WEIGHT * worker.turns_away(slip)
-                + MISSED_WEIGHT * (worker.probing + min(2, worker.missed)))
+        score = FAR_ZONE * (worker.box.zone != self.zone)
+        if worker.refused:
+            score += REFUSED_WEIGHT * worker.turns_away(slip)
+        return score + MISSED_WEIGHT * (worker.probing + min(2, worker.missed))
 
     def writer_score(self, writer, question):
         figures = writer.figures()
@@ -511,50 +519,69 @@
 
     def pair(self, question):
         """(expected time to the first token, reader, writer), without them if there is none."""
-        slip, scale, drawn = question.slip, question.promised, self.drawn(question)
+        scale, tried, roster = question.promised, question.tried, self.router.roster
+        drawn = self.drawn(question)
         ranked = self.ranked(question, drawn)
-        crossing = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
-        readers = [r for r in self.router.roster.readers if r.usable() and question.may_run_at(r)]
-        lots, weighed, best = question.lots(), {}, None
-        alone = not self.router.roster.readers      # departure: only mixed ones, which read all
+        across = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
+        cells, weighed, best, least = {}, {}, None, 0
+        alone = not roster.readers      # departure: only mixed ones, which read all
         for writer in list(ranked)[:SHORT_LIST]:
-            near, other, short = self.around(slip, writer, readers, lots)
-            cell = writer.box.cell
-            own = ranked[writer] + (writer in question.tried)
-            soonest = scale
-            across = crossing if short else max(FAR_CELL, crossing)
-            own_cell = [(short * FAR_CELL, not i, r) for i, r in enumerate(near)]
-            own_cell += [(0, False, writer)] * writer.reads
-            for far, favourite, reader in chain(
-                    own_cell, [(0, False, None)], ((across, not i, r) for i, r in enumerate(other))):
-                if (not reader or reader.box.cell != cell) and not short and soonest <= FAR_AFTER * scale:
-                    break       # else a departure: its cell's readers are gone, few or far behind
-                if not reader:
-                    continue    # the others are put in order only if they are looked at
-                key = reader, favourite, favourite and writer is drawn[0]
-                if key not in weighed:
-                    weighed[key] = self.weigh(question, *key)
-                took, score = weighed[key]
-                if reader is writer and took > SELF_READ * scale and not alone:
-                    continue
-                soonest = min(soonest, took)
-                if best is None or score + own + far < best[0]:
-                    wait = writer.figures().wait    # alone: measured to the answer, so it holds the read
-                    best = (score + own + far, max(took, wait) if alone else took + wait, reader, writer)
+            cell, home, short = writer.box.cell, writer is drawn[0], self.uses_others(question, writer)
+            own = ranked[writer] + (writer in tried)
+            if cell not in cells:
+                cells[cell] = self.fit(question, roster.reads_drawn.near(question.draws, cell))
+            soonest, far, enough = scale, short * FAR_CELL, FAR_AFTER * scale
+            for readers in (cells[cell], (writer,) * writer.reads, None):
+                if readers is None:     # others are put in order only if they are looked at
+                    if not short and soonest <= enough:
+                        break           # else a departure: its cell's readers are gone, few or far behind
+                    readers, far = self.fit(question, self.others(question, writer), DRAWN), (
+                        across if short else max(FAR_CELL, across))
+                favourite = True
+                for reader in readers:
+                    if reader is writer:
+                        favourite, far = False, 0
+                    elif not short and soonest <= enough and reader.box.cell != cell:
+                        break
+                    key = reader, favourite, favourite and home
+                    favourite = False
+                    if key not in weighed:
+                        weighed[key] = self.weigh(question, *key)
+                    took, score = weighed[key]
+                    if reader is writer and took > SELF_READ * scale and not alone:
+                        continue
+                    if took < soonest:
+                        soonest = took
+                    score = score + own + far
+                    if best is None or score < least:
+                        wait = writer.figures().wait    # alone: measured to the answer, so it holds the read
+                        best, least = (max(took, wait) if alone else took + wait, reader, writer), score
         if best is None:
             return 0, None, None
-        wait, slowness = best[3].figures().wait, best[3].figures().slowness
-        took = best[1] + CROWD * max(0, middle([w.figures().wait for w in ranked]) - wait)
-        return took + LATE_PACE * max(0, slowness) * scale, *best[2:]
-
-    def around(self, slip, writer, readers, lots):
-        """A writer's readers, near and other, favourites first; whether it uses others: racks differ."""
-        reach, cell, zone = self.router.roster.reach, writer.box.cell, writer.box.zone
-        near = sorted((r for r in readers if r.box.cell == cell), key=lots.get)
-        other = in_order((r for r in readers if r.box.cell != cell), DRAWN, lambda r: lots[r] / max(
-            0.1, reach[r.box.cell] - 1) * (1 if r.box.zone == zone else OTHER_ZONE))
-        short = lot(crc32(slip.session.encode()), writer, True) > NEAR_REACH * reach.get(cell, 0)
-        return near, other, short
+        took, figures = best[0], best[2].figures()
+        took += CROWD * max(0, middle([w.figures().wait for w in ranked]) - figures.wait)
+        return took + LATE_PACE * max(0, figures.slowness) * scale, *best[1:]
+
+    def fit(self, question, places, most=None):
+        """The first usable readers of such places in the list."""
+        readers, found = self.router.roster.readers, []
+        for place in places:
+            reader = readers[place]
+            if reader.usable() and question.may_run_at(reader):
+                found.append(reader)
+                if len(found) == most:
+                    break
+        return found
+
+    def others(self, question, writer):
+        """Readers of other cells, favourites first."""
+        drawn, box = self.router.roster.reads_drawn, writer.box
+        return drawn.other(question.draws, box.cell, box.zone, OTHER_ZONE)
+
+    def uses_others(self, question, writer):
+        """Whether a question of this writer does not keep to its cell's readers: racks differ."""
+        even = NEAR_REACH * self.router.roster.reach.get(writer.box.cell, 0)
+        return even < 1 and lot(question.home, writer) > even
 
     def weigh(self, question, reader, favourite, home):
         """(time, score) of reading there; a favourite holds most of the beginning, at home some own text."""
@@ -563,7 +590,7 @@
             kept = max(kept, int(slip.prefix_tokens * (1 - FAVOURED / reader.speaks)
                                  + HOME * (slip.prompt - slip.prefix_tokens) * home))
         unread = max(0, slip.prompt - kept)
-        took = reader.read_time(unread)
+        took = int((unread + figures.ahead + READ_FLOOR) * figures.pace)
         held = (reader.reports[-1][1].held or 0) * HELD_TOKENS if reader.reports else 0
         score = (took + (UNREAD_WEIGHT * unread + held) * figures.pace) / question.promised
         score += self.worker_score(reader, slip) + (reader in question.tried)
@@ -578,6 +605,7 @@
         self.host, self.clock, self.due, self.chance = host, now, deque(), Random(seed).random
         self.permits, self.lawbook, self.routers = permits, lawbook, routers
         self.workers, self.questions, self.fleet_figures, self.roster = {}, {}, {}, Roster(())
+        self.busy, self.fresh = set(), deque()  # workers that may owe a first token; questions without
         self.desk, self.tick_at = Desk(self, zone, routers, use_cases, accounts, permits.probes), 0
 
     def tell(self, now, *notes):
@@ -595,35 +623,45 @@
         if question.closed or question.streams or question.left_to() <= 0:              # 1
             return False
         may = place or (question.sends < self.permits.sends and question.may_run_at(worker))
-        return may and worker.open()                                                    # 2, 3 and 4
+        if may and worker.open() and not place:                                         # 2, 3 and 4
+            self.busy.add(worker)
+        return may and worker.open()
 
     def on_time_up(self):
         """The tick, only while a question is not yet streaming; or the wait for looks is over."""
         self.desk.note("serve")
         if self.clock >= self.tick_at:
-            for worker in self.workers.values():
-                if any(s.first is None for s in worker.out):
-                    worker.note("tick")
+            self.busy = {w for w in self.busy if any([s.first is None for s in w.out])}
+            for worker in sorted(self.busy, key=attrgetter("place")):
+                worker.note("tick")
             self.tick_at = 0
             self.wake()
 
     def wake(self):
-        if not self.tick_at and any(not q.streams for q in self.questions.values()):
+        while self.fresh and (self.fresh[0].streams or self.fresh[0].slip not in self.questions):
+            self.fresh.popleft()
+        if not self.tick_at and self.fresh:
             self.tick_at = self.clock + TICK
             self.host.remind(TICK, self)
 
     def fleet(self, worker):
-        at, figures = self.fleet_figures.get(worker.box.role, (-TICK, None))
+        """What its like have on average, and what one has that told nothing of late; by role as `own`."""
+        at, both = self.fleet_figures.get(worker.box.role, (-TICK, None))
         if self.clock - at >= TICK:
-            like = [w for w in self.roster.like(worker) if self.clock - w.told < FRESH]
-            pace = middle([f for w in like for f in w.recent(w.paces)]) or FIRST_PACE
-            waits = [f for w in like for f in w.recent(w.waits)]    # a few tell little of all the others
-            wait = (middle(waits) or 0) * len(waits) / (len(waits) + SAMPLES)
-            figures = Figures(mean([w.share() for w in like]), wait, pace,
-                              mean([w.others(pace) for w in like]), 0.0,
-                              middle([f for w in like for _, f in w.turnover]) or FRESH)
-            self.fleet_figures[worker.box.role] = self.clock, figures
-        return figures
+            clock, load, wait, pace, ahead, stays = self.clock, 0.0, 0, FIRST_PACE, 0, FRESH
+            like = [w for w in self.roster.like(worker) if clock - w.told < FRESH]
+            if worker.reads:
+                pace = middle([f for w in like for f in w.recent(w.paces)]) or FIRST_PACE
+                ahead = mean([w.others(pace) for w in like])
+            if worker.writes:
+                waits = [f for w in like for f in w.recent(w.waits)]    # a few tell little of all the others
+                wait = (middle(waits) or 0) * len(waits) / (len(waits) + SAMPLES)
+                load = mean([w.share() for w in like])
+                stays = middle([f for w in like for _, f in w.turnover]) or FRESH
+            usual = Figures(load, wait, pace, ahead, 0.0, stays)
+            both = usual, usual._replace(load=load / 2)
+            self.fleet_figures[worker.box.role] = clock, both
+        return both
 
     def on_ended(self, slip):
         self.questions.pop(slip, None)
@@ -640,6 +678,7 @@
     def arrived(self, now, slip):
         self.clock = now
         question = self.questions[slip] = Question(self, slip, self.permits)
+        self.fresh.append(question)
         self.host.remind(max(1, slip.patience - MARGIN), question)
         self.tell(now, (self.desk, "arrived", question))
         self.wake()
