--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -141,7 +141,9 @@
 
 
 @app.command()
-def replay(record: Path, text: Annotated[Optional[Path], typer.Option(help="another text of rules.py")] = None,
+def replay(record: Annotated[Path, typer.Argument(help="a record, or a folder of them: all in one process")],
+           text: Annotated[Optional[Path], typer.Option(help="another text of rules.py, its parts.py beside it")] = None,
+           commit: Annotated[str, typer.Option(help="the text of this commit")] = "",
            compare: Annotated[bool, typer.Option(help="stop at the first action that differs")] = True,
            json_: Annotated[bool, typer.Option("--json")] = False):
     """Play a record of module events again: the same actions, and the module's CPU by kind of event."""
@@ -150,7 +152,9 @@
     from ramppulley.rules import Router
     from ramppulley.service import events
     try:
-        told = events.replay(record, events.text_of(text) if text else Router, compare)
+        with tempfile.TemporaryDirectory() as folder:
+            other = events.text_of(text) if text else events.text_at(commit, folder) if commit else Router
+            told = events.replay(record, other, compare)
     except events.Difference as met:
         typer.echo(f"differs at {met}", err=True)
         raise typer.Exit(1) from None
@@ -165,6 +169,42 @@
         typer.echo("the same actions" if compare else "not compared")
 
 
+@app.command()
+def drill(record: Annotated[Path, typer.Option(help="folder for a record of each router's events")]):
+    """Run the decision bench's adapter on standard input and output, and record its routers' events."""
+    from ramppulley.drill.wire import Malformed
+    from ramppulley.load import tap
+    try:
+        tap.serve(sys.stdin, sys.stdout, record)
+    except Malformed as fault:
+        fail(f"ramppulley.drill: {fault}")
+
+
+@app.command()
+def grid(folder: Annotated[Path, typer.Argument(help="for cost.csv, cost.svg and the records")],
+         commit: Annotated[str, typer.Option(help="measure the text of this commit beside the present one")] = "",
+         questions: Annotated[int, typer.Option(min=10, help="in each cell of the grid")] = 300,
+         load: Annotated[float, typer.Option(min=0.1, help="times the usual traffic; 2 is overload")] = 1.0,
+         workers: Annotated[str, typer.Option(help="sizes of fleets")] = "12,24,48,72,144",
+         routers: Annotated[str, typer.Option(help="one of so many routers' traffic")] = "1,8,64,230",
+         rounds: Annotated[int, typer.Option(min=1)] = 2):
+    """The module's CPU an event by fleet size and share of the traffic; virtual clock, made fleets (simulated)."""
+    from ramppulley.load import grid as grids
+    from ramppulley.rules import Router
+    from ramppulley.service import events
+    try:
+        sizes, shares = ([int(n) for n in some.split(",")] for some in (workers, routers))
+        with tempfile.TemporaryDirectory() as old:
+            texts = {commit: events.text_at(commit, old)} if commit else {}
+            grids.run(folder, {**texts, "now": Router}, workers=sizes, routers=shares, questions=questions, load=load,
+                      rounds=rounds, say=typer.echo)
+    except events.Difference as met:
+        typer.echo(f"differs at {met}", err=True)
+        raise typer.Exit(1) from None
+    except (OSError, ValueError) as fault:
+        fail(str(fault))
+
+
 @app.command()
 def bench(seconds: Annotated[float, typer.Option(help="of each part")] = 12.0,
           soak: Annotated[float, typer.Option(help="instead: so many seconds at half load")] = 0.0,
--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -55,7 +55,7 @@
 class Instance:
     """One router: its ids, its module, and the lines that it answers with."""
 
-    def __init__(self, name, seed, profile, now, out):
+    def __init__(self, name, seed, profile, now, out, make=Router):
         self.name, self.out, self.now = name, out, now
         self.boxes, self.ids = {}, {}           # address -> Box, Box -> address
         self.slips, self.slip_ids, self.sends = {}, {}, {}
@@ -74,7 +74,7 @@
             for i, lane in enumerate(lanes)]
         self.fields = profile["Report"].get("Fields") or []
         self.over_share = float(profile.get("OverShareWorth", 1.0))
-        self.router = Router(
+        self.router = make(
             self, seed=seed, routers=int(profile["NInstances"]), zone=int(profile["MyZone"]),
             use_cases=self.use_cases,
             accounts=[door.Account(float(t["QuotaPerS"])) for t in profile.get("Tenants") or []],
@@ -244,12 +244,12 @@
     return (fields + ["-"] * count)[:count]
 
 
-def handle(line, following, now, routers, out):
+def handle(line, following, now, routers, out, make=Router):
     """One event line; `following` yields its entry lines."""
     name, _, rest = line.partition(" ")
     if name == "POWER_ON":
         inst, seed, profile = rest.split(" ", 2)
-        routers[inst] = Instance(inst, int(seed), json.loads(profile), now, out)
+        routers[inst] = Instance(inst, int(seed), json.loads(profile), now, out, make)
         return
     fields = rest.split(" ")
     inst, fields = fields[0], fields[1:]
@@ -274,8 +274,8 @@
         routers[inst].tidy()
 
 
-def serve(source, sink):
-    """Answers batch after batch until the source ends."""
+def serve(source, sink, make=Router):
+    """Answers batch after batch until the source ends; `make` makes a router as `Router` does."""
     routers = {}
     lines = (line.rstrip("\r\n") for line in source)
     for line in lines:
@@ -290,7 +290,7 @@
             if crashed or not event:
                 continue
             try:
-                handle(event, lines, now, routers, out)
+                handle(event, lines, now, routers, out, make)
             except Malformed:
                 raise
             except (ValueError, KeyError, IndexError, StopIteration) as fault:
--- a/ramppulley/service/events.py
+++ b/ramppulley/service/events.py
@@ -5,10 +5,14 @@
 between host and module, and only where one is asked for: without it nothing is added to the decision path.
 """
 import gzip
+import heapq
 import importlib.util
+import subprocess
+import sys
 import time
 from collections import Counter, defaultdict
 from dataclasses import asdict, fields
+from pathlib import Path
 from weakref import WeakKeyDictionary
 
 import msgspec
@@ -191,12 +195,12 @@
 class Difference(Exception):
     """The first step whose actions are not those of the record."""
 
-    def __init__(self, number, step, actions, state):
+    def __init__(self, number, step, actions, state, path=""):
         at = next((i for i, (a, b) in enumerate(zip(step.actions, actions)) if a != b),
                   min(len(step.actions), len(actions)))
         self.number, self.step, self.actions, self.state = number, step, actions, state
         super().__init__(
-            f"step {number}, {step.event} at {step.now}, given {step.given}: action {at} was "
+            f"{Path(path).name} step {number}, {step.event} at {step.now}, given {step.given}: action {at} was "
             f"{step.actions[at] if at < len(step.actions) else 'none'}, is now "
             f"{actions[at] if at < len(actions) else 'none'}; {state}")
 
@@ -207,27 +211,47 @@
             f"{sum(bool(w.doubted) for w in router.workers.values())} of {len(router.workers)} workers doubted")
 
 
+class _Player:
+    """One record on its way through a text of the module."""
+
+    def __init__(self, path, router_class):
+        head, self.steps = read(path)
+        self.path, self.names = path, _Names(keep=True)
+        self.cases, self.boxes, self.ears = [door.UseCase(**c) for c in head.use_cases], {}, _Ears(self.names)
+        self.router = router_class(
+            self.ears, seed=head.seed, routers=head.routers, zone=head.zone, use_cases=self.cases,
+            accounts=[door.Account(**a) for a in head.accounts], permits=door.Permits(**head.permits),
+            lawbook=door.Lawbook(**head.lawbook), now=head.now)
+
+    def play(self, number, step, compare):
+        """Nanoseconds of CPU of one step; raises Difference."""
+        args = _args(step, self.names, self.boxes, self.cases)
+        call, began = getattr(self.router, step.event), time.process_time_ns()
+        call(step.now, *args)
+        spent = time.process_time_ns() - began
+        actions = self.ears.taken()
+        if compare and actions != step.actions:
+            raise Difference(number, step, actions, _state(self.router), self.path)
+        return spent
+
+
 def replay(path, router_class, compare=True):
-    """Plays a record through a text of the module; raises Difference at the first step that is not the same.
+    """Plays a record, or all of a folder by their times in one process, through a text of the module.
 
-    Returns {event: (times, seconds of CPU)}; CPU is the module's alone, the comparing is not in it.
+    Raises Difference at the first step that is not the same. Returns {event: (times, seconds of CPU)}; CPU is the module's
+    alone, the comparing is not in it.
     """
-    head, steps = read(path)
-    names, cases = _Names(keep=True), [door.UseCase(**c) for c in head.use_cases]
-    ears = _Ears(names)
-    router = router_class(ears, seed=head.seed, routers=head.routers, zone=head.zone, use_cases=cases,
-                          accounts=[door.Account(**a) for a in head.accounts], permits=door.Permits(**head.permits),
-                          lawbook=door.Lawbook(**head.lawbook), now=head.now)
-    boxes, spent, times = {}, defaultdict(int), Counter()
-    for number, step in enumerate(steps):
-        args = _args(step, names, boxes, cases)
-        call, began = getattr(router, step.event), time.process_time_ns()
-        call(step.now, *args)
-        spent[step.event] += time.process_time_ns() - began
+    paths = sorted(Path(path).glob("*.rec")) if Path(path).is_dir() else [path]
+    if not paths:
+        raise ValueError(f"{path}: no record in this folder")
+    players, spent, times = [_Player(one, router_class) for one in paths], defaultdict(int), Counter()
+
+    def line(who):
+        return ((step.now, who, number, step) for number, step in enumerate(players[who].steps))
+
+    for _, who, number, step in heapq.merge(*map(line, range(len(players))), key=lambda told: told[:3]):
+        spent[step.event] += players[who].play(number, step, compare)
         times[step.event] += 1
-        actions = ears.taken()
-        if compare and actions != step.actions:
-            raise Difference(number, step, actions, _state(router))
     return {event: (times[event], spent[event] / 1e9) for event in times}
 
 
@@ -265,8 +289,31 @@
 
 
 def text_of(path):
-    """The Router of another text of the module, from its file."""
-    spec = importlib.util.spec_from_file_location("ramppulley_other_rules", path)
+    """The Router of another text of the module, from its rules.py; with the parts.py beside it if there is one."""
+    path, name = Path(path), "ramppulley.parts"
+    now, beside = sys.modules.get(name), path.with_name("parts.py")
+    try:
+        if beside.exists():
+            sys.modules[name] = _module("ramppulley_other_parts", beside)
+        return _module("ramppulley_other_rules", path).Router
+    finally:
+        if now is not None:
+            sys.modules[name] = now
+
+
+def text_at(commit, folder):
+    """The Router as it stood at a commit of this repository; its files are put into the folder."""
+    for name in ("rules.py", "parts.py"):
+        told = subprocess.run(["git", "-C", Path(__file__).parent, "show", f"{commit}:ramppulley/{name}"],
+                              capture_output=True, timeout=20)
+        if told.returncode:
+            raise ValueError(f"{commit}: {told.stderr.decode(errors='replace').strip()}")
+        Path(folder, name).write_bytes(told.stdout)
+    return text_of(Path(folder, "rules.py"))
+
+
+def _module(name, path):
+    spec = importlib.util.spec_from_file_location(name, path)
     module = importlib.util.module_from_spec(spec)
     spec.loader.exec_module(module)
-    return module.Router
+    return module
