Favourites weighed once a pair, refusals read from the newest, words of notes kept

Need: what was left of a pair's cost after the rows: the same favourite weighed for several writers, all refusals read each time. Change: a favourite's row is kept for the pair; the newest refusal of the same use case and account ends the reading; the names of the actors' methods are kept in a table.

--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -125,9 +125,15 @@
 
     def turns_away(self, slip):
         """How surely this party's or use case's questions are turned away as full here."""
-        now, case, account = self.now, slip.use_case, slip.account
-        return max([((same.use_case is case) + (same.account == account)) / 2 * (1 - (now - at) / REFUSED_FOR)
-                    for at, same in self.refused]) if self.refused else 0.0
+        now, case, account, most = self.router.clock, slip.use_case, slip.account, -1e9
+        for at, same in reversed(self.refused):
+            alike = (same.use_case is case) + (same.account == account)
+            surely = alike / 2 * (1 - (now - at) / REFUSED_FOR)
+            if surely > most:
+                most = surely
+            if alike == 2 and surely >= 0:      # older ones cannot say more
+                break
+        return most if self.refused else 0.0
 
     def quiet(self):
         waiting = [s.start for s in self.out if not s.first]
@@ -567,7 +573,7 @@
         drawn = self.drawn(question)
         ranked = self.scored(question, drawn)   # so each of them has its figures worked out
         across = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
-        near, other, plain, best, least, key = {}, {}, {}, None, 0, question.draws
+        near, other, plain, liked, best, least, key = {}, {}, {}, {}, None, 0, question.draws
         alone, enough = not roster.readers, FAR_AFTER * scale   # departure: only mixed ones, which read all
         for writer in list(ranked)[:SHORT_LIST]:
             cell, home, short = writer.box.cell, writer is drawn[0], self.uses_others(question, writer)
@@ -575,9 +581,9 @@
             rows, wait = near.get((cell, home)), writer.worked_out.wait
             if rows is None:
                 readers = self.fit(question, roster.readers, roster.reads_drawn.near(key, cell))
-                rows = near[cell, home] = [
-                    plain.get(r) or self.weigh(question, r, plain) if i else self.weigh(
-                        question, r, None, home) for i, r in enumerate(readers)]
+                rows = near[cell, home] = [liked.get((r, home)) or self.weigh(question, r, liked, home)
+                                           for r in readers[:1]]
+                rows += [plain.get(r) or self.weigh(question, r, plain) for r in readers[1:]]
             for took, score, reader in rows:
                 if took < soonest:
                     soonest = took
@@ -600,7 +606,7 @@
             favourite = True
             for reader in readers:
                 if favourite:
-                    took, score, _ = self.weigh(question, reader, None, home)
+                    took, score, _ = liked.get((reader, home)) or self.weigh(question, reader, liked, home)
                     favourite = False
                 else:
                     took, score, _ = plain.get(reader) or self.weigh(question, reader, plain)
@@ -625,15 +631,15 @@
         return even < 1 and lots[writer] > even
 
     def weigh(self, question, reader, known, home=None):
-        """(time, score, reader) of reading there, put into what is known if so asked; else it is a favourite,
-        which holds most of the beginning, at home some own text."""
+        """(time, score, reader) of reading there, put into what is known; a favourite (home told) holds most
+        of the beginning, at home some own text."""
         slip, figures, tokens, reports = question.slip, reader.worked_out, reader.kept.tokens, reader.reports
         if reader.worked_turn != reader.turn or self.router.clock - reader.worked_at > TICK // 2:
             figures = reader.figures()
         kept = 0
         if tokens:
             kept = max(tokens.get(slip.session, 0), tokens.get(slip.prefix, 0))
-        if known is None:
+        if home is not None:
             kept = max(kept, question.favoured[home])
         unread, pace = slip.prompt - kept if slip.prompt > kept else 0, figures.pace
         took = int((unread + figures.ahead + READ_FLOOR) * pace)
@@ -645,9 +651,7 @@
             score += 1
         if reader.doubted and not question.sends:       # its trial is due
             score -= TRIAL_BONUS
-        row = took, score, reader
-        if known is not None:
-            known[reader] = row
+        row = known[reader if home is None else (reader, home)] = took, score, reader
         return row
 
 
@@ -664,13 +668,15 @@
 
     def tell(self, now, *notes):
         self.clock = now
-        for actor, *note in notes:
-            actor.note(*note)
-        while self.due:
-            actor = self.due.popleft()
+        due = self.due
+        for actor, word, *figures in notes:
+            actor.inbox.append((word, figures))
+            due.append(actor)
+        while due:
+            actor = due.popleft()
             word, figures = actor.inbox.popleft()
             actor.turn += 1
-            getattr(actor, "on_" + word)(*figures)
+            getattr(actor, ON[word])(*figures)
 
     def guard(self, question, worker, place=False):
         """Rules 1 to 4 for every send and every place held ahead."""
@@ -756,3 +762,6 @@
 
     def reminded(self, now, what):
         self.tell(now, (what, "time_up"))
+
+
+ON = {word[3:]: word for part in (Worker, Question, Desk, Router) for word in vars(part) if word[:3] == "on_"}
