A send that waits for a free connection past its time blames no worker

Cause: with all 512 connections to a worker in use a send could run out of time in the queue for one; it was told as no_route, by which the module doubts a worker that is well. Change: waiting for one of the capped connections is a stage of its own; what ends there is stale: it did not run, and says nothing. Measured: a story with a cap of one sees stale where it saw no_route; connector tests pass.

--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -15,10 +15,14 @@
         self.idle, self.made, self._room = deque(), 0, asyncio.Semaphore(most)
         self.spare = None               # kept open for small calls, so that no handshake stands before them
 
-    async def get(self, within):
-        """Raises OSError, or TimeoutError after `within` seconds. Give it back by `put` or `drop`."""
+    async def get(self, within, when_room=None):
+        """Raises OSError, or TimeoutError after `within` seconds of connecting. Give it back by `put` or `drop`.
+
+        `when_room` is called when the wait for one of the capped number is over."""
         loop = asyncio.get_running_loop()
         await self._room.acquire()
+        if when_room is not None:
+            when_room()
         try:
             while self.idle:
                 wire, since = self.idle.pop()       # the last used first: the others may idle out
--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -104,7 +104,7 @@
 
     # Connector
     def start(self, core, out):
-        out.stage = proof.CONNECT
+        out.stage = proof.QUEUE
         out.task = self._task(self._send(core, out))
         out.task.add_done_callback(lambda task: core.ended(out, self._end_of(out, task)))
 
@@ -231,9 +231,13 @@
         """One send from handshake to its End; never raises but for our own faults and cancelling."""
         connections = self.workers[out.box].connections
         loop, wire, whole = asyncio.get_running_loop(), None, False
+
+        def connects():
+            out.stage = proof.CONNECT
+
         try:
             async with asyncio.timeout_at(loop.time() + out.time_out / TENTHS) as limit:
-                wire = await connections.get(min(self.connect_within, out.time_out / TENTHS))
+                wire = await connections.get(min(self.connect_within, out.time_out / TENTHS), connects)
                 request = self._request(out, connections)
                 out.stage = proof.WRITE
                 await wire.send(request)
@@ -314,7 +318,7 @@
                    status=parser.status, body=body)
 
 
-_ORDER = [proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER]
+_ORDER = [proof.QUEUE, proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER]
 
 
 class _Stream:
--- a/ramppulley/engines/proof.py
+++ b/ramppulley/engines/proof.py
@@ -6,13 +6,16 @@
 from ramppulley import door
 
 # stages of a send
-CONNECT, WRITE, WAIT, ANSWER = "connect", "write", "wait", "answer"
+QUEUE, CONNECT, WRITE, WAIT, ANSWER = "queue", "connect", "write", "wait", "answer"
 
 # what was seen
 REFUSED, LOST, TIMED_OUT, GARBLED, WITHDRAWN = "refused", "lost", "timed out", "garbled", "withdrawn"
 
 #: (stage, seen) -> outcome
 TABLE = {
+    (QUEUE, LOST): door.STALE,                  # all connections are in use: it says nothing of the worker
+    (QUEUE, TIMED_OUT): door.STALE,
+    (QUEUE, WITHDRAWN): door.STALE,
     (CONNECT, REFUSED): door.NO_ROUTE,          # no connection: no byte of it went out
     (CONNECT, LOST): door.NO_ROUTE,
     (CONNECT, TIMED_OUT): door.NO_ROUTE,
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -224,10 +224,22 @@
 
 
 def test_every_stage_and_sight_has_its_outcome():
-    for stage in (proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER):
+    for stage in (proof.QUEUE, proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER):
         for seen in (proof.LOST, proof.TIMED_OUT, proof.WITHDRAWN):
             outcome = proof.of(stage, seen)
-            assert (outcome in door.NEVER_RAN) == (stage == proof.CONNECT or (stage, seen) == (proof.WRITE, proof.LOST))
+            assert (outcome in door.NEVER_RAN) == (
+                stage in (proof.QUEUE, proof.CONNECT) or (stage, seen) == (proof.WRITE, proof.LOST))
+
+
+@story
+async def test_a_send_that_waits_for_a_free_connection_blames_no_worker():
+    async def another(engines, out):
+        engines.workers[out.box].connections._room = asyncio.Semaphore(1)      # the first has the only one
+        second = Out(out.life, out.box, None, 1, False, 800, 0, STATE)
+        engines.start(out.life.sink, second)
+
+    core = await play(nothing, act=another)
+    assert core.ends[0].outcome == door.STALE and core.made == 1
 
 
 PART = st.sampled_from([GOOD, READ, TOKEN, b"\r\n\r\n", b"HTTP/1.1 200 OK\r\n", b"content-length: 4\r\n\r\n", b"0\r\n\r\n",
