Draws of all workers mixed side by side in one whole number

Change: the marks of a list stand in lanes of 128 bits of one whole number and are mixed together; where weights are alike the order comes from the whole numbers without logarithms.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -2,6 +2,7 @@
 from collections import deque, namedtuple
 from functools import lru_cache
 from math import inf, log
+from struct import unpack
 
 #: What a worker is taken to have: memory load, time to the first token, time per unread token, tokens ahead,
 #: streams' lateness, streams' time.
@@ -138,7 +139,7 @@
         return self.by_role.get(worker.box.role, [])
 
 
-MIX, MIX_MORE, WORD = 0x9E3779B97F4A7C15, 0xD6E8FEB86659FD93, 0xFFFFFFFFFFFFFFFF
+MIX, MIX_MORE, WORD, LANE = 0x9E3779B97F4A7C15, 0xD6E8FEB86659FD93, 0xFFFFFFFFFFFFFFFF, 128
 DRAWN_KEYS, DRAWN_LISTS = 1024, 16      # kept at once: keys of a list; lists, which routers may see at other times
 
 
@@ -153,32 +154,44 @@
     """
 
     def __init__(self, told):
-        self.marks = [mark for mark, *_ in told]
-        self.weights = [weight or 1 for _, weight, *_ in told]
         self.told, self.orders = told, {}
-
-    def lots(self, key):
-        lots = []
-        for mark, weight in zip(self.marks, self.weights):
-            mixed = ((key ^ mark) * MIX) & WORD
-            mixed = ((mixed ^ mixed >> 32) * MIX_MORE) & WORD
-            lots.append(-log(((mixed >> 32) + 1) / 2 ** 32) / weight)
-        return lots
+        self.weights = [weight or 1 for _, weight, *_ in told]
+        self.alike = len(set(self.weights)) < 2
+        # all marks side by side in one whole number, 128 bits each, so that one multiplication mixes them all
+        self.ones = sum([1 << LANE * i for i in range(len(told))])
+        self.marks = sum([(told[i][0] & WORD) << LANE * i for i in range(len(told))])
+
+    def parts(self, key):
+        """What `lot` draws for each, as whole numbers from 1 to 2 ** 32."""
+        words = WORD * self.ones
+        mixed = ((self.marks ^ key * self.ones) * MIX) & words
+        mixed = ((mixed ^ (mixed >> 32 & words)) * MIX_MORE) & words
+        lanes = mixed.to_bytes(LANE // 8 * len(self.told), "little")
+        return [(word >> 32) + 1 for word in unpack(f"<{2 * len(self.told)}Q", lanes)[::2]]
 
     def kept(self, key):
         known = self.orders.get(key)
         if known is None:
             while len(self.orders) >= DRAWN_KEYS:
                 del self.orders[next(iter(self.orders))]
-            known = self.orders[key] = {None: self.lots(key)}
+            known = self.orders[key] = {"parts": self.parts(key)}
         return known
 
+    def lots(self, key):
+        known = self.kept(key)
+        if "lots" not in known:
+            known["lots"] = [-log(part / 2 ** 32) / weight for part, weight in zip(known["parts"], self.weights)]
+        return known["lots"]
+
     def order(self, key):
         known = self.kept(key)
-        if 0 not in known:
-            lots = known[None]
-            known[0] = tuple(sorted(range(len(lots)), key=lots.__getitem__))
-        return known[0]
+        if "order" not in known:
+            if self.alike:      # the logarithm keeps their order
+                by = known["parts"].__getitem__
+                known["order"] = tuple(sorted(range(len(self.told)), key=by, reverse=True))
+            else:
+                known["order"] = tuple(sorted(range(len(self.told)), key=self.lots(key).__getitem__))
+        return known["order"]
 
     def near(self, key, cell):
         """The places of a cell's workers."""
@@ -192,7 +205,7 @@
         known, what = self.kept(key), (cell, zone)
         if what not in known:
             lots = [lot / max(0.1, reach - 1) * (1 if its == zone else times)
-                    for lot, (_, _, _, its, reach) in zip(known[None], self.told)]
+                    for lot, (_, _, _, its, reach) in zip(self.lots(key), self.told)]
             known[what] = tuple(sorted([i for i, told in enumerate(self.told) if told[2] != cell],
                                        key=lots.__getitem__))
         return known[what]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,8 +1,13 @@
 """Stories of the decisions: one for each rule, kind of outcome and failure met."""
+from math import log
+from random import Random
+from types import SimpleNamespace
+
 import pytest
 from fakehost import MS, S, FakeHost, box, fleet
 
 from ramppulley import door
+from ramppulley.parts import DRAWN_KEYS, Draws, lot
 
 
 def read(host, slip, **more):
@@ -404,3 +409,22 @@
     host = FakeHost(fleet())
     host.wait(20 * S)
     assert not host.timers
+
+
+@pytest.mark.parametrize("weights", [(1.0,), (1.0, 2.5, 0.5)])
+def test_what_a_key_draws_side_by_side_is_what_it_draws_for_each(weights):
+    chance = Random(5)
+    told = tuple((chance.getrandbits(64), weights[i % len(weights)], 0, 0, 1.0) for i in range(37))
+    for key in [0, 2 ** 32 - 1] + [chance.getrandbits(32) for _ in range(50)]:
+        alone = [lot(key, SimpleNamespace(box=SimpleNamespace(mark=mark))) for mark, *_ in told]
+        draws = Draws(told)
+        assert [part / 2 ** 32 for part in draws.parts(key)] == alone
+        lots = [-log(part) / weight for part, (_, weight, *_) in zip(alone, told)]
+        assert list(draws.order(key)) == sorted(range(37), key=lots.__getitem__)
+
+
+def test_keys_kept_for_a_list_are_bounded():
+    draws = Draws(((1, 1.0, 0, 0, 1.0),))
+    for key in range(DRAWN_KEYS + 50):
+        draws.near(key, 0)
+    assert len(draws.orders) == DRAWN_KEYS and DRAWN_KEYS + 49 in draws.orders
