Let go by its own id what a read may have left when its answer was not heard

Change: a read that ends neither read nor provably unrun is let go by the id of that send; stand-ins understand it.

--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -75,7 +75,7 @@
     def __init__(self, log, full=(429, 503), most=512, idle=10.0, connect_within=1.0, load="answers"):
         self.log, self.full, self.most, self.idle = log, full, most, idle
         self.connect_within, self.load = connect_within, load
-        self.workers, self.tasks, self.holding = {}, set(), {}
+        self.workers, self.tasks, self.holding, self.closing = {}, set(), {}, False
 
     def know(self, box, address):
         """A worker's address; a change of it drops the old connections."""
@@ -90,6 +90,7 @@
             worker.connections.tidy()
 
     async def close(self):
+        self.closing = True
         for task in set(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -106,7 +107,14 @@
     def start(self, core, out):
         out.stage = proof.QUEUE
         out.task = self._task(self._send(core, out))
-        out.task.add_done_callback(lambda task: core.ended(out, self._end_of(out, task)))
+        out.task.add_done_callback(lambda task: self._over(core, out, self._end_of(out, task)))
+
+    def _over(self, core, out, end):
+        """Tells a send's end; the state that a read may have left unknown to us is let go by the send's own id."""
+        core.ended(out, end)
+        unknown = out.reads and end.outcome not in door.NEVER_RAN and not self.closing
+        if unknown and "release" in self.workers[out.box].extensions:
+            self._in_turn(out.life, out.box, self._release(out.life, out.box, None, f"-s{out.number}"))
 
     def withdraw(self, out):
         out.task.cancel()
@@ -145,9 +153,9 @@
         task = self.holding[key] = self._task(after())
         task.add_done_callback(over)
 
-    async def _release(self, life, box, state):
-        """Tried until it was heard, a few times at most."""
-        what = {"request_id": life.ask.name}
+    async def _release(self, life, box, state, send=""):
+        """Tried until it was heard, a few times at most; with `send` what that one send may have left."""
+        what = {"request_id": life.ask.name + send}
         if state is not None:
             what |= {"remote_engine_id": state.get("remote_engine_id"),
                      "remote_block_ids": state.get("remote_block_ids")}
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -270,8 +270,12 @@
             if self.engine.yard.release(key[0]):
                 self._close_held(key[0], "let go", arrived)
         else:
-            self.engine.drop_place(str(body.get("request_id")))
-            self._close_held(str(body.get("request_id")), "let go", arrived)
+            name = str(body.get("request_id"))
+            self.engine.drop_place(name)
+            self._close_held(name, "let go", arrived)
+            for left in [k for k, h in self.open_held.items() if h.what == "state" and h.request == name]:
+                self.engine.yard.release(left)
+                self._close_held(left, "let go", arrived)
         self.wake.set()
         await wire.send(http.answer(200, self._headers(), b"{}"))
         return True
