--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -209,6 +209,39 @@
     assert (await play(nothing, act=later)).ends[0].outcome == door.UNDONE
 
 
+@story
+async def test_what_a_read_left_is_let_go_though_its_answer_came_too_late_to_be_heard():
+    engines, core = OpenAIEngines(structlog.get_logger(), connect_within=0.3), FakeCore()
+    told, released = [], asyncio.Event()
+
+    async def serve(wire):
+        parser = http.RequestParser(1 << 20)
+        while not parser.ready:
+            parser.feed(await wire.receive())
+        request = parser.ready.popleft()
+        told.append((request.path, request.body))
+        await wire.send(READ if len(told) == 1 else whole(200, b"{}"))
+        if len(told) == 1:
+            engines.withdraw(out)       # in the turn in which the answer is on its way
+        else:
+            released.set()
+    listener = Listener(serve).start()
+    box = door.Box(1, "read", 0, 0, 0)
+    engines.know(box, ("127.0.0.1", listener.port))
+    engines.workers[box].extensions = frozenset({"release"})
+    ask = Ask("q.r0-1", CHAT, "m", "c", {"model": "m", "messages": []}, 60_000, 1, stream=True)
+    out = Out(Life(ask, door.Slip(CASE, 1, 1, 60_000), core, 0), box, None, 0, True, 3000, 0, None)
+    try:
+        engines.start(core, out)
+        async with asyncio.timeout(5):
+            await released.wait()
+    finally:
+        await engines.close()
+        await listener.stop()
+    assert core.ends[0].outcome == door.UNDONE
+    assert told[1] == ("/kv/release", b'{"request_id":"q.r0-1-s0"}')
+
+
 @story
 async def test_a_connection_is_used_again_after_a_whole_answer_and_only_then():
     assert (await play(GOOD, times=3)).made == 1
