--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -150,12 +150,12 @@
     import json
 
     from ramppulley.rules import Router
-    from ramppulley.service import events
+    from ramppulley.check import replay as replays
     try:
         with tempfile.TemporaryDirectory() as folder:
-            other = events.text_of(text) if text else events.text_at(commit, folder) if commit else Router
-            told = events.replay(record, other, compare)
-    except events.Difference as met:
+            other = replays.text_of(text) if text else replays.text_at(commit, folder) if commit else Router
+            told = replays.replay(record, other, compare)
+    except replays.Difference as met:
         typer.echo(f"differs at {met}", err=True)
         raise typer.Exit(1) from None
     except (OSError, ValueError) as fault:
@@ -191,14 +191,14 @@
     """The module's CPU an event by fleet size and share of the traffic; virtual clock, made fleets (simulated)."""
     from ramppulley.load import grid as grids
     from ramppulley.rules import Router
-    from ramppulley.service import events
+    from ramppulley.check import replay as replays
     try:
         sizes, shares = ([int(n) for n in some.split(",")] for some in (workers, routers))
         with tempfile.TemporaryDirectory() as old:
-            texts = {commit: events.text_at(commit, old)} if commit else {}
+            texts = {commit: replays.text_at(commit, old)} if commit else {}
             grids.run(folder, {**texts, "now": Router}, workers=sizes, routers=shares, questions=questions, load=load,
                       rounds=rounds, say=typer.echo)
-    except events.Difference as met:
+    except replays.Difference as met:
         typer.echo(f"differs at {met}", err=True)
         raise typer.Exit(1) from None
     except (OSError, ValueError) as fault:
--- a/ramppulley/load/grid.py
+++ b/ramppulley/load/grid.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from ramppulley import door
+from ramppulley.check import replay
 from ramppulley.rules import Router
 from ramppulley.service import events
 
@@ -154,7 +155,7 @@
     least = {}
     for _ in range(rounds):
         for name, router in texts.items():
-            for event, (times, cpu) in events.replay(path, router).items():
+            for event, (times, cpu) in replay.replay(path, router).items():
                 us = cpu / times * 1e6
                 before = least.setdefault(name, {}).get(event, (times, us))
                 least[name][event] = times, min(us, before[1])
--- a/ramppulley/load/troubles.py
+++ b/ramppulley/load/troubles.py
@@ -24,12 +24,16 @@
         if act is not None:             # else it is of the arrivals, not of the fleet
             await act(trouble, names)
 
-    async def _switch(self, trouble, names, on, off):
-        for name in names:
-            on(self.fleet.standins[name])
+    async def _switch(self, trouble, names, part, on, off):
+        """One attribute of the stand-ins, or of their engines, for as long as the trouble lasts."""
+        things = [self.fleet.standins[name] for name in names]
+        if part == "slower":
+            things = [standin.engine for standin in things]
+        for thing in things:
+            setattr(thing, part, on(thing) if callable(on) else on)
         await asyncio.sleep(trouble.for_s)
-        for name in names:
-            off(self.fleet.standins[name])
+        for thing in things:
+            setattr(thing, part, off)
 
     async def _crash(self, trouble, names):
         await asyncio.gather(*(self.fleet.crash(n) for n in names))
@@ -46,12 +50,7 @@
         await asyncio.gather(*(self.fleet.restart(n) for n in names))
 
     async def _slow(self, trouble, names):
-        def on(s):
-            s.engine.slower = trouble.size
-
-        def off(s):
-            s.engine.slower = 1.0
-        await self._switch(trouble, names, on, off)
+        await self._switch(trouble, names, "slower", trouble.size, 1.0)
 
     async def _neighbour(self, trouble, names):
         """Another program takes a part of the machine, on and off."""
@@ -75,12 +74,7 @@
             await asyncio.sleep(0.8)
 
     async def _late_reports(self, trouble, names):
-        def on(s):
-            s.report_late = int(trouble.size * S)
-
-        def off(s):
-            s.report_late = 0
-        await self._switch(trouble, names, on, off)
+        await self._switch(trouble, names, "report_late", int(trouble.size * S), 0)
 
     async def _forget(self, trouble, names):
         for name in names:
@@ -95,53 +89,34 @@
             await self.fleet.standins[name].reach()
 
     async def _slow_handshake(self, trouble, names):
-        def on(s):
-            s.handshake = trouble.size
-
-        def off(s):
-            s.handshake = 0.0
-        await self._switch(trouble, names, on, off)
+        await self._switch(trouble, names, "handshake", trouble.size, 0.0)
 
     async def _drain(self, trouble, names):
         """Drains, ends, and comes back cold."""
-        for name in names:
-            self.fleet.drain(name)
-        await asyncio.sleep(trouble.for_s)
-        await asyncio.gather(*(self.fleet.crash(n) for n in names))
-        await asyncio.gather(*(self.fleet.restart(n) for n in names))
+        await self._drained(trouble.for_s, 0.0, names)
 
     async def _taken_away(self, trouble, names):
         """Drained with short notice: it ends soon after, whatever still runs there."""
+        notice = min(1.0, trouble.for_s)
+        await self._drained(notice, trouble.for_s - notice, names)
+
+    async def _drained(self, notice, away, names):
         for name in names:
             self.fleet.drain(name)
-        await asyncio.sleep(min(1.0, trouble.for_s))
+        await asyncio.sleep(notice)
         await asyncio.gather(*(self.fleet.crash(n) for n in names))
-        await asyncio.sleep(max(0.0, trouble.for_s - 1.0))
+        await asyncio.sleep(away)
         await asyncio.gather(*(self.fleet.restart(n) for n in names))
 
     async def _wrong_full(self, trouble, names):
-        def on(s):
-            s.refuses = {"user": trouble.account} if trouble.account else {"model": s.model}
-
-        def off(s):
-            s.refuses = None
-        await self._switch(trouble, names, on, off)
+        await self._switch(trouble, names, "refuses", lambda standin: {"user": trouble.account} if trouble.account else {
+            "model": standin.model}, None)
 
     async def _cut_answers(self, trouble, names):
-        def on(s):
-            s.cut_part = trouble.size
-
-        def off(s):
-            s.cut_part = 0.0
-        await self._switch(trouble, names, on, off)
+        await self._switch(trouble, names, "cut_part", trouble.size, 0.0)
 
     async def _corrupt_answers(self, trouble, names):
-        def on(s):
-            s.corrupt_part = trouble.size
-
-        def off(s):
-            s.corrupt_part = 0.0
-        await self._switch(trouble, names, on, off)
+        await self._switch(trouble, names, "corrupt_part", trouble.size, 0.0)
 
     async def _router_roll(self, trouble, names):
         """Routers are killed outright and started again, one after the other."""
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,6 +5,7 @@
 from fakehost import MS, S, FakeHost, fleet
 
 from ramppulley import door
+from ramppulley.check import replay
 from ramppulley.service import events
 from ramppulley.rules import Router
 
@@ -54,7 +55,7 @@
 
 
 def test_a_record_replays_through_the_same_text_to_the_same_actions(record):
-    told = events.replay(record, Router)
+    told = replay.replay(record, Router)
     assert told["arrived"][0] == 60 and told["outcome"][0] > 60 and set(told) > {"listed", "reminded", "probed", "left"}
 
 
@@ -62,23 +63,23 @@
     class Other(Router):
         def guard(self, question, worker, place=False):
             return super().guard(question, worker, place) and self.clock < S
-    with pytest.raises(events.Difference) as met:
-        events.replay(record, Other)
+    with pytest.raises(replay.Difference) as met:
+        replay.replay(record, Other)
     assert met.value.step.now >= S and "in line" in str(met.value)
-    events.replay(record, Router)
+    replay.replay(record, Router)
 
 
 def test_another_text_of_the_module_is_read_from_its_file(record):
-    events.replay(record, events.text_of(Router.__init__.__code__.co_filename))
+    replay.replay(record, replay.text_of(Router.__init__.__code__.co_filename))
 
 
 def test_a_record_cut_short_replays_up_to_there_and_rubbish_is_refused(record, tmp_path):
     cut = tmp_path / "cut.rec"
     cut.write_bytes(record.read_bytes()[:-40])
-    assert events.replay(cut, Router)["arrived"][0] > 0
+    assert replay.replay(cut, Router)["arrived"][0] > 0
     cut.write_bytes(b"hello")
     with pytest.raises(ValueError, match="no record"):
-        events.replay(cut, Router)
+        replay.replay(cut, Router)
 
 
 def test_recording_changes_no_action_and_keeps_nothing_that_the_module_forgot(tmp_path):
--- a/tests/test_grid.py
+++ b/tests/test_grid.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ramppulley import rules
+from ramppulley.check import replay
 from ramppulley.drill import wire
 from ramppulley.load import grid, tap
 from ramppulley.service import events
@@ -35,22 +36,22 @@
     assert text.count("SHORT_LIST, DRAWN = 5, 8") == 1
     (tmp_path / "rules.py").write_text(text.replace("SHORT_LIST, DRAWN = 5, 8", "SHORT_LIST, DRAWN = 1, 1"))
     path = grid.record(SMALL, tmp_path / "day.rec")
-    with pytest.raises(events.Difference, match=r"day\.rec step \d+"):
-        grid.measure(SMALL, path, {"other": events.text_of(tmp_path / "rules.py")}, 1)
+    with pytest.raises(replay.Difference, match=r"day\.rec step \d+"):
+        grid.measure(SMALL, path, {"other": replay.text_of(tmp_path / "rules.py")}, 1)
 
 
 def test_another_text_brings_its_own_parts_and_leaves_ours_alone(tmp_path):
     parts = Path(rules.__file__).with_name("parts.py").read_text()
     (tmp_path / "parts.py").write_text(parts + "\n\ndef middle(figures):\n    return 12345\n")
     (tmp_path / "rules.py").write_text(Path(rules.__file__).read_text())
-    other = events.text_of(tmp_path / "rules.py")
+    other = replay.text_of(tmp_path / "rules.py")
     assert other.on_ended.__globals__["middle"]([1]) == 12345
     assert rules.middle([1]) == 1
 
 
 def test_a_commit_that_is_not_there_is_told(tmp_path):
     with pytest.raises(ValueError, match="0000000"):
-        events.text_at("0000000", tmp_path)
+        replay.text_at("0000000", tmp_path)
 
 
 def test_the_grid_writes_a_row_for_each_kind_and_a_chart(tmp_path):
@@ -90,16 +91,16 @@
     tap.serve(iter(day(["a", "b"])), tapped, tmp_path)
     assert plain.getvalue() == tapped.getvalue() and "ATTEMPT a q0" in plain.getvalue()
     assert [path.name for path in sorted(tmp_path.iterdir())] == ["000-a.rec", "001-b.rec"]
-    told = events.replay(tmp_path, rules.Router)
+    told = replay.replay(tmp_path, rules.Router)
     assert told["arrived"][0] == 6 and told["listed"][0] == 2
 
 
 def test_records_are_closed_when_the_wire_breaks_off(tmp_path):
     with pytest.raises(wire.Malformed):
         tap.serve(iter(day(["a", "b"])[:-1]), io.StringIO(), tmp_path)
-    assert events.replay(tmp_path, rules.Router)["arrived"][0] == 6
+    assert replay.replay(tmp_path, rules.Router)["arrived"][0] == 6
 
 
 def test_an_empty_folder_is_no_record(tmp_path):
     with pytest.raises(ValueError, match="no record"):
-        events.replay(tmp_path, rules.Router)
+        replay.replay(tmp_path, rules.Router)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,7 +19,7 @@
 from ramppulley.fleet.listing import Entry, Fleet, Listing
 from ramppulley.load.day import Day
 from ramppulley.rules import Router
-from ramppulley.service import events
+from ramppulley.check import replay
 from ramppulley.wire import http
 from ramppulley.wire.faults import BadMessage
 
@@ -117,7 +117,7 @@
         replies = await asyncio.gather(*(rig.chat(f"q{n}") for n in range(12)), rig.embed("a"), rig.rerank())
         await rig.daemon.stop()
         paths = sorted(recorder.file.name for recorder in rig.daemon.recorders)
-        told = [events.replay(path, Router) for path in paths]
+        told = [replay.replay(path, Router) for path in paths]
         assert all(reply.done for reply in replies)
         assert [t["arrived"][0] for t in told] == [12, 2]
 
