Module reread: one look at open in the guard, a worker's number by its own name

Need: reread of the change: the guard asked twice whether a worker is open, a test in may_run_at could not be met, Worker.place was named like a question's place, a list was kept apart for home though it is the same. Change: those four, nothing else.

--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -43,14 +43,14 @@
 class Worker(Actor):
     """One reader, writer or mixed server: samples, our sends there, health, drain and cold budget."""
     __slots__ = (       # more than an instance's dictionary holds at full speed
-        "box lawbook routers probes chance place name speaks reads writes state born probing missed out kept"
+        "box lawbook routers probes chance number name speaks reads writes state born probing missed out kept"
         " unread memory shared shared_until reports starts waits lately paces streamed turnover refused heard"
         " told cold_next worked_out worked_at worked_turn doubted doubted_at trial_at strikes plain").split()
 
     def __init__(self, router, box, lawbook, routers, probes, chance):
         super().__init__(router)
         self.box, self.lawbook, self.routers, self.probes, self.chance = box, lawbook, routers, probes, chance
-        self.place = len(router.workers)        # among all that were ever listed
+        self.number = len(router.workers)       # among all that were ever listed
         self.name, self.speaks = box.mark % 9973, min(routers, SPEAKS_FOR)
         self.reads, self.writes = box.role != "write", box.role != "read"
         self.state, self.born, self.probing, self.missed = box.state, box.born, False, 0
@@ -313,7 +313,7 @@
         if not self.out and not self.maybe_ran:
             return True
         case = self.slip.use_case
-        if self.out or case.effect == "pure" or not self.maybe_ran:
+        if self.out or case.effect == "pure":
             return not self.out
         same = {"all": lambda box: 0, "zone": lambda box: box.zone, "cell": lambda box: box.cell}[case.group]
         return case.effect == "receipted" and all(
@@ -598,7 +598,7 @@
                         best, least = (max(took, wait) if alone else took + wait, writer, writer), score
             if not short and soonest <= enough:
                 continue            # else a departure: its cell's readers are gone, few or far behind
-            place, far = (cell, writer.box.zone, home), across if short else max(FAR_CELL, across)
+            place, far = (cell, writer.box.zone), across if short else max(FAR_CELL, across)
             readers = other.get(place)
             if readers is None:
                 places = roster.reads_drawn.other(key, cell, writer.box.zone, OTHER_ZONE)
@@ -683,16 +683,17 @@
         if question.closed or question.streams or question.left_to() <= 0:              # 1
             return False
         may = place or (question.sends < self.permits.sends and question.may_run_at(worker))
-        if may and worker.open() and not place:                                         # 2, 3 and 4
+        may = may and worker.open()                                                     # 2, 3 and 4
+        if may and not place:
             self.busy.add(worker)
-        return may and worker.open()
+        return may
 
     def on_time_up(self):
         """The tick, only while a question is not yet streaming; or the wait for looks is over."""
         self.desk.note("serve")
         if self.clock >= self.tick_at:
             self.busy = {w for w in self.busy if any([s.first is None for s in w.out])}
-            for worker in sorted(self.busy, key=attrgetter("place")):
+            for worker in sorted(self.busy, key=attrgetter("number")):
                 worker.note("tick")
             self.tick_at = 0
             self.wake()
