Gossip begun: membership by SWIM with Lifeguard, pure, on a virtual network

Change: gossip/ takes datagrams, ticks and seeded chance and gives datagrams and events; load/nets.py plays many of them with loss, delay, doubling, cuts and pauses; ./rp nets writes a table; design note with options and what is missing. Nothing that serves imports it.

--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -205,6 +205,19 @@
         fail(str(fault))
 
 
+@app.command()
+def nets(file: Annotated[Path, typer.Argument(help="for the table, CSV")],
+         sizes: Annotated[str, typer.Option(help="instances of a cluster")] = "3,10,50",
+         losses: Annotated[str, typer.Option(help="parts of all datagrams that are lost")] = "0,0.1,0.3",
+         seed: int = 1):
+    """Gossip between instances on a virtual network (simulated): time to detect, false ends, bytes a second."""
+    from ramppulley.load.nets import table
+    try:
+        table([int(n) for n in sizes.split(",")], [float(n) for n in losses.split(",")], file, typer.echo, seed)
+    except (OSError, ValueError) as fault:
+        fail(str(fault))
+
+
 @app.command()
 def bench(seconds: Annotated[float, typer.Option(help="of each part")] = 12.0,
           soak: Annotated[float, typer.Option(help="instead: so many seconds at half load")] = 0.0,
--- /dev/null
+++ b/ramppulley/gossip/words.py
@@ -0,0 +1,74 @@
+"""What instances say to each other: MessagePack arrays, one datagram each, under the size that every path carries.
+
+SWIM (Das, Gupta, Motivala 2002) with the refinements of Lifeguard (Dadgar, Phillips, Currey 2017).
+"""
+from typing import Literal
+
+import msgspec
+
+SAFE_SIZE = 1_200               # bytes of one datagram: passes any path of IPv6's least MTU with room for a signature
+VERSION = 1
+Address = tuple[str, int]
+State = Literal["alive", "suspect", "dead", "left"]
+
+
+class News(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """What somebody knows of an instance; `by` says it (a suspicion counts once for each who says it)."""
+    name: str
+    host: str
+    port: int
+    state: State
+    incarnation: int
+    by: str
+
+
+class Packet(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """One datagram. `ping` is answered by `ack`; `ask` asks a third to ping `about`, which tells `ack` or, in time, `nack`.
+
+    `sync` hands over a part of the sender's view and is answered by `view` with a part of the other's; `tell` is news alone.
+    """
+    version: int
+    kind: Literal["ping", "ask", "ack", "nack", "sync", "view", "leave", "tell"]
+    sender: str
+    number: int                 # of the ping that it belongs to
+    about: str
+    news: list[News]
+
+
+class Unreadable(ValueError):
+    """A datagram that is no packet of this version."""
+
+
+_decoder, _encoder = msgspec.msgpack.Decoder(Packet), msgspec.msgpack.Encoder()
+
+
+def packed(packet):
+    return _encoder.encode(packet)
+
+
+def read(data):
+    """The packet of a datagram; raises Unreadable."""
+    if len(data) > SAFE_SIZE:
+        raise Unreadable(f"{len(data)} bytes")
+    try:
+        packet = _decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as fault:
+        raise Unreadable(str(fault)) from fault
+    if packet.version != VERSION:
+        raise Unreadable(f"version {packet.version}")
+    if any(not 0 < news.port < 65_536 or not 0 <= news.incarnation < 1 << 48 or not news.name or len(news.name) > 64
+           or len(news.host) > 64 for news in packet.news):
+        raise Unreadable("news out of bounds")
+    return packet
+
+
+def sized(packet, news):
+    """The packet's bytes with as many of the news as fit, in order, and how many those are."""
+    room, taken = SAFE_SIZE - len(packed(packet)) - 2, []
+    for one in news:
+        room -= len(_encoder.encode(one))
+        if room < 0:
+            break
+        taken.append(one)
+    packet.news = taken
+    return packed(packet), len(taken)
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,223 @@
+"""Stories of membership on a virtual network: who is held for what, when, and at what price."""
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ramppulley.gossip import words
+from ramppulley.gossip.members import MS, RANK, Manners, Member, Members, S
+from ramppulley.gossip.words import News, Packet, Unreadable
+from ramppulley.load.nets import PLAIN, Net, table
+
+
+def met(size=8, **more):
+    net = Net(size, **more)
+    while not net.agree():
+        net.run(net.now + S)
+        assert net.now < 120 * S
+    net.events.clear()
+    return net
+
+
+def test_all_meet_by_one_seed_although_a_tenth_of_all_is_lost():
+    assert met(20, loss=0.1).now < 60 * S
+
+
+def test_the_end_of_one_is_known_to_all_in_bounded_time():
+    net = met()
+    net.end("i3")
+    net.run(net.now + 40 * S)
+    assert {name for _, name, *_ in net.seen("dead", "i3")} == set(net.members)
+    assert net.agree() and not [e for e in net.seen("dead") if e[3] != "i3"]
+
+
+def test_a_goodbye_needs_no_suspicion():
+    net = met()
+    net.members["i2"].leave(net.now)
+    net._after("i2", net.members["i2"])
+    net.run(net.now + 5 * S)
+    assert {name for _, name, *_ in net.seen("left", "i2")} == set(net.members) - {"i2"}
+    assert not net.seen("suspect", "i2") and not net.members["i2"].out
+
+
+def test_a_short_pause_is_denied_and_nobody_is_held_for_dead():
+    net = met()
+    net.pause("i4", 6 * S)
+    net.run(net.now + 60 * S)
+    assert net.seen("suspect", "i4") and not net.seen("dead")
+    assert net.members["i4"].incarnation > 1 and net.agree()
+
+
+def test_one_that_was_held_for_dead_comes_back_by_a_higher_incarnation():
+    net = met()
+    net.pause("i4", 60 * S)
+    net.run(net.now + 50 * S)
+    assert net.seen("dead", "i4")
+    net.run(net.now + 120 * S)
+    assert net.agree()
+
+
+def test_one_that_paused_and_now_suspects_everybody_convinces_nobody():
+    net = met(12)
+    net.pause("i4", 10 * S)
+    net.run(net.now + 60 * S)
+    assert not [e for e in net.seen("dead") if e[3] != "i4"]
+
+
+def test_a_cut_one_way_is_bridged_by_others():
+    net = met()
+    net.cut = lambda a, b: (a, b) == ("i1", "i2")
+    net.run(net.now + 60 * S)
+    assert not net.seen("dead")
+
+
+def test_a_partition_heals_although_each_half_holds_the_other_for_dead():
+    net = met(10)
+    half = {f"i{n}" for n in range(5)}
+    net.cut = lambda a, b: (a in half) != (b in half)
+    net.run(net.now + 90 * S)
+    assert all(set(m.alive()) <= (half if n in half else set(net.members) - half) for n, m in net.members.items())
+    net.cut = lambda a, b: False
+    net.run(net.now + 120 * S)
+    assert net.agree()
+
+
+def test_half_vanish_at_once_and_the_others_keep_each_other():
+    net = met(20)
+    for number in range(10, 20):
+        net.end(f"i{number}")
+    net.run(net.now + 90 * S)
+    assert net.agree()
+    assert not [e for e in net.seen("dead") if e[3] in net.members]
+
+
+def test_lifeguard_holds_fewer_living_ones_for_dead_than_swim_alone():
+    wrong = []
+    for manners in (None, PLAIN):
+        net = Net(30, 3, manners, loss=0.3)
+        net.run(60 * S)
+        net.events.clear()
+        net.run(180 * S)
+        wrong.append(len(net.seen("dead")))
+    assert wrong[0] * 4 < wrong[1]
+
+
+def test_one_seed_gives_one_run_and_another_gives_another():
+    def run(seed):
+        net = Net(6, seed, loss=0.2, doubled=0.1)
+        net.run(40 * S)
+        return net.events, net.bytes
+    assert run(1) == run(1) and run(1) != run(2)
+
+
+def test_no_datagram_is_too_large_and_the_rate_is_bounded_in_a_join_storm():
+    manners = Manners(per_second=20, burst=40)
+    net = Net(80, 1, manners)
+    net.run(20 * S)
+    assert 0 < net.largest <= words.SAFE_SIZE
+    assert max(net.sent.values()) <= 40 + 20 * 20
+    assert net.members["i0"].count["over budget"] > 0       # everybody greets it at once
+
+
+def alone(**more):
+    member = Members("a", ("a", 1), Random(1), Manners(**more))
+    member.out.clear()
+    return member
+
+
+def packet(kind, *news, sender="b", number=1, about=""):
+    return words.packed(Packet(words.VERSION, kind, sender, number, about, list(news)))
+
+
+def test_what_is_unreadable_is_counted_and_changes_nothing():
+    member = alone()
+    good = packet("ping", News("b", "b", 1, "alive", 1, "b"), about="a")
+    for data in (b"", b"\xc1", good[:-1], good + b"\0", b"\x90" * 2000, good.replace(b"ping", b"pong"),
+                 packet("ping", News("b", "b", 0, "alive", 1, "b")), packet("ping", News("b", "b", 1, "alive", -1, "b"))):
+        member.take(0, ("b", 1), data)
+    assert member.count["unreadable"] == 8 and not member.members and not member.out
+    member.take(0, ("b", 1), good)
+    assert member.alive() == ["b"] and len(member.out) == 1
+
+
+@given(st.binary(max_size=1300))
+@settings(max_examples=300, deadline=None)
+def test_no_bytes_do_more_than_be_counted(data):
+    member = alone()
+    member.take(0, ("b", 1), data)
+    member.tick(10 * S)
+
+
+def test_a_suspicion_of_ourselves_is_denied_and_our_own_name_from_elsewhere_is_counted():
+    member = alone()
+    member.take(0, ("b", 1), packet("tell", News("a", "a", 1, "suspect", 7, "b")))
+    assert member.incarnation == 8 and member.health == 1 and member.count["denied"] == 1
+    member.take(0, ("b", 1), packet("tell", sender="a"))
+    assert member.count["own name"] == 1
+
+
+def test_confirmations_of_different_accusers_shorten_a_suspicion_and_repetitions_do_not():
+    member = alone()
+    for name in "bcdefg":
+        member.take(0, (name, 1), packet("tell", News(name, name, 1, "alive", 1, name), sender=name))
+    ends = []
+    for by in "cccdef":
+        member.take(0, (by, 1), packet("tell", News("b", "b", 1, "suspect", 1, by), sender=by))
+        ends.append(member.members["b"].until)
+    assert ends[0] == ends[1] == ends[2] > ends[3] > ends[4] > ends[5] == member.suspicion_time(4)
+
+
+def test_members_remembered_are_bounded_and_ended_ones_make_room():
+    member = alone(most=3)
+    for number in range(5):
+        name = f"m{number}"
+        member.take(0, (name, 1), packet("tell", News(name, name, 1, "alive", 1, name), sender=name))
+    assert member.alive() == ["m0", "m1", "m2"] and member.count["no room"] == 2
+    member.take(0, ("m0", 1), packet("tell", News("m1", "m1", 1, "left", 2, "m1"), sender="m0"))
+    member.take(0, ("m4", 1), packet("tell", News("m4", "m4", 1, "alive", 1, "m4"), sender="m4"))
+    assert member.alive() == ["m0", "m2", "m4"]
+
+
+NEWS = st.builds(News, st.just("b"), st.just("b"), st.just(1), st.sampled_from(sorted(RANK)), st.integers(1, 3),
+                 st.sampled_from("cde"))
+
+
+@given(st.lists(NEWS, min_size=1, max_size=6), st.randoms())
+@settings(max_examples=300, deadline=None)
+def test_news_of_one_instance_may_come_in_any_order(news, chance):
+    """An end that undoes what came before it must do so whichever came first: else two views never agree."""
+    def told(order):
+        member = alone()
+        member.members["b"] = Member("b", ("b", 1), "alive", 0, 0)
+        for one in order:
+            member._hear(0, one)
+        return member.members["b"].state, member.members["b"].incarnation
+    other = list(news)
+    chance.shuffle(other)
+    assert told(news) == told(other)
+
+
+def test_a_helper_asks_for_another_and_says_no_in_time():
+    member = alone()
+    member.take(0, ("c", 1), packet("tell", News("c", "c", 1, "alive", 1, "c"), sender="c"))
+    member.take(0, ("b", 1), packet("ask", number=9, about="c"))
+    assert words.read(member.out[-1][1]).kind == "ping" and member.out[-1][0] == ("c", 1)
+    member.next_probe = member.next_tell = member.next_sync = 99 * S
+    assert member.due() == 320 * MS
+    member.out.clear()
+    member.tick(320 * MS)
+    answer = words.read(member.out[-1][1])
+    assert (answer.kind, answer.number, member.out[-1][0]) == ("nack", 9, ("b", 1))
+
+
+def test_a_packet_of_another_version_is_not_read():
+    with pytest.raises(Unreadable, match="version 2"):
+        words.read(words.packed(Packet(2, "ping", "b", 1, "a", [])))
+
+
+def test_the_table_has_a_row_for_each_size_loss_and_protocol(tmp_path):
+    said = []
+    table([3], [0.0, 0.3], tmp_path / "nets.csv", said.append)
+    lines = (tmp_path / "nets.csv").read_text().splitlines()
+    assert len(lines) == 5 and len(said) == 4 and lines[0].startswith("protocol,seed,size,loss")
