--- a/ramppulley/__main__.py
+++ b/ramppulley/__main__.py
@@ -1,5 +1,9 @@
-"""`python -m ramppulley`: the command line."""
-from ramppulley.cli.main import app
+"""`python -m ramppulley`: the command line. `platform` runs without what the other commands need: its memory is bounded."""
+import sys
 
 if __name__ == "__main__":
+    if sys.argv[1:] == ["platform"]:
+        from ramppulley.daemon.platform import main
+        sys.exit(main())
+    from ramppulley.cli.main import app
     app(prog_name="rp")
--- /dev/null
+++ b/ramppulley/daemon/platform.py
@@ -0,0 +1,201 @@
+"""One router as the platform starts it: configuration, limits, signals, and the wiring of its parts.
+
+`python -m ramppulley platform` runs it. It imports no more than this path needs, since its memory and CPU are bounded.
+"""
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+import time
+
+import msgspec
+import uvloop
+
+from ramppulley.engines.connections import Budget
+from ramppulley.engines.platform.connector import PlatformEngines
+from ramppulley.fleet.platform.listing import Listing
+from ramppulley.fleet.platform.watch import Watch
+from ramppulley.fronts.platform.server import PlatformFront
+from ramppulley.profile import Profile
+from ramppulley.rules import Router
+from ramppulley.service.clock import LoopClock
+from ramppulley.service.core import Core
+from ramppulley.wire import platform
+from ramppulley.wire.faults import BadMessage
+
+RESERVE = 24                    # descriptors beside clients' and workers': loop, listener, watch, log, signals
+CLIENTS = 0.55                  # of the rest; a third of all is the most that clients hold for requests
+STILL = 0.6                     # seconds after SIGTERM that new connections still come
+WITHIN = 600.0                  # seconds for what was taken; the platform ends the process before that
+
+
+class Unusable(Exception):
+    """A configuration that no router can be started with; its text is one line."""
+
+
+class Log:
+    """Lines on standard error: a word, and what belongs to it."""
+
+    def __init__(self, name, stream=sys.stderr):
+        self.name, self.stream = name, stream
+
+    def _line(self, level, text, fields):
+        told = " ".join(f"{key}={value}" for key, value in fields.items())
+        print(f"{time.time():.3f} {self.name} {level} {text} {told}".rstrip(), file=self.stream, flush=True)
+
+    def info(self, text, **fields):
+        self._line("info", text, fields)
+
+    def warning(self, text, **fields):
+        self._line("warning", text, fields)
+
+    def error(self, text, **fields):
+        self._line("error", text, fields)
+
+    def exception(self, text, **fields):
+        import traceback
+        self._line("error", text, fields | {"trace": repr(traceback.format_exc())})
+
+
+def read(path):
+    """The configuration's object; raises Unusable."""
+    try:
+        with open(path, "rb") as file:
+            told = msgspec.json.decode(file.read())
+    except OSError as fault:
+        raise Unusable(f"configuration {path}: {fault.strerror}") from fault
+    except msgspec.DecodeError as fault:
+        raise Unusable(f"configuration {path}: {fault}") from fault
+    if not isinstance(told, dict):
+        raise Unusable(f"configuration {path}: no object")
+    return told
+
+
+class Node:
+    """What one configuration asks for, made; `start`, `reload` and `stop` are its life."""
+
+    def __init__(self, told, log, make=Router):
+        try:
+            self.listen, self.discovery = platform.address(told["listen"]), platform.address(told["discovery"])
+            self.profile = Profile(told["settings"])
+            self.seed = int(str(told.get("seed") or 0), 16)
+            self.sockets = int((told.get("limits") or {}).get("sockets") or 1024)
+            self.known = platform.change_of(told["known"]) if told.get("known") else None
+        except (KeyError, TypeError, ValueError, AttributeError, BadMessage) as fault:
+            raise Unusable(f"configuration: {type(fault).__name__} {fault}") from fault
+        self.log, self.make, self.listed = log, make, False
+
+    async def start(self):
+        """Raises OSError where its address cannot be listened on."""
+        profile, loop = self.profile, asyncio.get_running_loop()
+        room = max(16, self.sockets - RESERVE)
+        clients = int(room * CLIENTS)
+        self.clock = LoopClock(loop)
+        self.engines = PlatformEngines(self.log, profile, Budget(room - clients))
+        accounts = {"": 0} | {name: i for i, name in enumerate(profile.account_names)}
+        self.core = Core("", lambda host, now: profile.router(self.make, host, self.seed, now), self.engines, self.clock,
+                         profile.use_cases, accounts, None, self.log, None, None)
+        self.listing = Listing(profile, self.log)
+        if self.known is not None and self.known.entries:
+            self._told(self.known)
+        self.watch = Watch(self.discovery, self._told, lambda: self.listing.seq, self.log,
+                           random.Random(self.seed).random).start()
+        self.front = PlatformFront(self.core, profile, self.log, lambda: self.listed, host=self.listen[0],
+                                   port=self.listen[1], connections=clients,
+                                   questions=profile.questions_most or clients).start()
+        self._tidying = loop.create_task(self._tidy())
+        self.log.info("listening", port=self.front.port, workers=len(self.listing.workers.boxes), clients=clients,
+                      to_workers=self.engines.budget.most)
+        return self
+
+    def _told(self, change):
+        told = self.listing.told(change, self.clock.now(), int(time.time() * 1000))
+        for box, address in told:
+            self.engines.know(box, address)
+            if box.state == "gone":
+                self.engines.forget(box)
+        self.listed = self.listed or bool(told)
+        if told:
+            self.core.listed([box for box, _ in told])
+
+    def reload(self, path):
+        """The configuration was replaced: discovery may be elsewhere. One that cannot be used changes nothing."""
+        try:
+            told = read(path)
+            address = platform.address(told["discovery"])
+        except (Unusable, KeyError, BadMessage) as fault:
+            self.log.error("new configuration not usable, the old one stays", fault=fault)
+            return
+        self.log.info("new configuration", discovery=f"{address[0]}:{address[1]}")
+        self.watch.move(address)
+
+    async def _tidy(self):
+        """Every half second idle connections; now and then a line of what is held, and how late the loop ran."""
+        loop, late, count = asyncio.get_running_loop(), 0.0, 0
+        while True:
+            due = loop.time() + 0.5
+            await asyncio.sleep(0.5)
+            late, count = max(late, loop.time() - due), count + 1
+            self.engines.tidy()
+            if count % 20 == 0:
+                self.log.info("holds", **self.sizes(), late_ms=round(late * 1000))
+                late = 0.0
+
+    def sizes(self):
+        """All that could grow."""
+        router = self.core.router
+        return {"open": len(self.front.open), "clients": len(self.front.listener.tasks), "lives": len(self.core.lives),
+                "questions": len(router.questions), "workers": len(router.workers), "taken": self.core.taken,
+                "to_workers": self.engines.budget.open, "at_rest": len(self.engines.budget.kept),
+                "tasks": len(self.engines.tasks), "refused": self.front.refused,
+                "turned_away": self.front.listener.turned_away, "cpu_s": round(time.process_time(), 2)}
+
+    async def stop(self, still=STILL, within=WITHIN):
+        """Takes what still comes, answers all that it took, lets go of what is held."""
+        self.log.info("stops", open=len(self.front.open))
+        await self.front.stop(still, within)
+        self._tidying.cancel()
+        await asyncio.gather(self._tidying, return_exceptions=True)
+        await self.watch.stop()
+        for _ in range(40):                     # releases that are under way
+            if not self.engines.tasks:
+                break
+            await asyncio.sleep(0.025)
+        await self.engines.close()
+        self.log.info("stopped")
+
+
+async def run(path, told, log):
+    loop, stopping = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopping.set)
+    node = Node(told, log)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, path)
+    try:
+        await node.start()
+    except OSError as fault:
+        raise Unusable(f"cannot listen on {told['listen']}: {fault.strerror}") from fault
+    gc.collect()
+    gc.freeze()                 # what the start made stays: no full collection walks it again
+    gc.set_threshold(20_000, 20, 50)
+    await stopping.wait()
+    await node.stop()
+
+
+def main():
+    """The command; 2 for a configuration that cannot be used."""
+    path = os.environ.get("PROXY_CONFIG")
+    try:
+        if not path:
+            raise Unusable("PROXY_CONFIG names no configuration")
+        told = read(path)
+        for word in ("NAME", "LISTEN", "DISCOVERY"):
+            if f"PROXY_{word}" in os.environ:
+                told.setdefault(word.lower(), os.environ[f"PROXY_{word}"])
+        uvloop.run(run(path, told, Log(str(told.get("name", "router")))))
+    except Unusable as fault:
+        print(f"ramppulley platform: {fault}", file=sys.stderr)
+        return 2
+    return 0
--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -3,15 +3,14 @@
 Holds no decision: it parses, keeps ids and objects apart, and converts seconds to tenths of a millisecond.
 """
 import json
-import zlib
 
 from ramppulley import door
+from ramppulley.profile import Profile, Workers, tenths
 from ramppulley.rules import Router
 
 OUTCOMES = {"pass": door.DONE, "fault": door.FAULT, "no_room": door.NO_ROOM, "too_slow": door.TOO_SLOW,
             "no_route": door.NO_ROUTE, "cut": door.CUT, "undone": door.UNDONE, "stale_send": door.STALE,
             "read": door.READ}
-EFFECTS = {"free": "pure", "guarded": "receipted", "single_shot": "effectful"}
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 
 
@@ -19,25 +18,6 @@
     """Input that does not follow the wire."""
 
 
-def micros(text):
-    """Whole microseconds of a time in seconds.
-
-    >>> micros("8.41225")
-    8412250
-    """
-    return round(float(text) * 1_000_000)
-
-
-def tenths(text, up=False):
-    """Seconds to whole tenths of a millisecond, down unless told otherwise; '-' is 0.
-
-    >>> tenths("0.00019"), tenths("0.00019", up=True), tenths("-")
-    (1, 2, 0)
-    """
-    us = 0 if text in ("-", None, "") else micros(text)
-    return -(-us // 100) if up else us // 100
-
-
 def seconds(ticks):
     """Tenths of a millisecond as seconds.
 
@@ -57,37 +37,13 @@
 
     def __init__(self, name, seed, profile, now, out, make=Router):
         self.name, self.out, self.now = name, out, now
-        self.boxes, self.ids = {}, {}           # address -> Box, Box -> address
         self.slips, self.slip_ids, self.sends = {}, {}, {}
         self.out_now, self.closed = {}, {}      # sends out of each question; whether it has its final answer
         self.notes, self.next_note, self.answered = {}, 0, []
-        law, bounds, special = profile["Rules"], profile["Bounds"], profile["Specifics"]
-        self.roles = special["RoleByKind"]
-        self.memory = special.get("MemoryTokens") or []
-        per_k, pace = special.get("AimUsPer1000PromptTokens") or [], special.get("TokenAimS") or []
-        lanes = profile["Lanes"]
-        self.use_cases = [door.UseCase(
-            promised=tenths(lane["AimS"]), outer_limit=tenths(lane["GiveUpS"]), benefit=float(lane["Credit"]),
-            promised_per_k=int(per_k[i]) // 100 if i < len(per_k) else 0,
-            pace=tenths(pace[i]) if i < len(pace) else 0, effect=EFFECTS[lane["Effect"]],
-            group=lane.get("KeyScope") or "all", window=tenths(lane.get("WindowS", 0)))
-            for i, lane in enumerate(lanes)]
-        self.fields = profile["Report"].get("Fields") or []
-        self.over_share = float(profile.get("OverShareWorth", 1.0))
-        self.router = make(
-            self, seed=seed, routers=int(profile["NInstances"]), zone=int(profile["MyZone"]),
-            use_cases=self.use_cases,
-            accounts=[door.Account(float(t["QuotaPerS"])) for t in profile.get("Tenants") or []],
-            permits=door.Permits(
-                sends=int(bounds["SendCap"]), concurrent=bool(bounds.get("MayDuplicate")),
-                probes=bool(bounds.get("Probing")) and profile["Report"]["How"] != "none",
-                withdraw=bool(bounds.get("Cancel")), places=bool(special.get("MayReserve")),
-                longest_wait=tenths(bounds.get("MaxRetryAfterS", 0)) if bounds.get("RetryAfter") else 0),
-            lawbook=door.Lawbook(
-                drain_grace=tenths(law["DrainGraceS"]), cold_from=float(law["ColdFrom"]),
-                cold_for=tenths(law["ColdS"], up=True), cold_multiple=float(law["FallMultiple"]),
-                cold_window=tenths(law["FallS"]), let_go_within=tenths(special["ReleaseS"]),
-                step=max(1, tenths(profile["ResolutionS"], up=True))), now=now)
+        self.profile = Profile(profile)
+        self.workers = Workers(self.profile)
+        self.boxes, self.ids = self.workers.boxes, self.workers.ids     # address -> Box, Box -> address
+        self.router = self.profile.router(make, self, seed, now)
 
     # What the module asks for (door.Host)
     def act(self, *parts):
@@ -135,38 +91,18 @@
         kind = fields[1]
         if kind == "error":
             return
-        changed, named = [], []
-        for state, cell, address, weight, zone, flavor, born in entries:
-            box = self.boxes.get(address)
-            if box is None:
-                flavor = int(flavor)
-                box = self.boxes[address] = door.Box(
-                    mark=zlib.crc32(address.encode()), role=self.roles[min(flavor, len(self.roles) - 1)],
-                    cell=int(cell), zone=int(zone),
-                    memory=int(self.memory[flavor]) if flavor < len(self.memory) else 0)
-                self.ids[box] = address
-            box.cell, box.zone = int(cell), int(zone)
-            box.weight = 1.0 if weight == "-" else float(weight)
-            box.state = STATES[state]
-            box.born = tenths(born) or None
-            changed.append(box)
-            named.append(address)
-        if kind != "diff":
-            for address, box in self.boxes.items():
-                if address not in named and box.state != "gone":
-                    box.state = "gone"
-                    changed.append(box)
-        self.router.listed(now, changed)
+        self.router.listed(now, self.workers.told([
+            (address, STATES[state], int(cell), int(zone), int(flavor), 1.0 if weight == "-" else float(weight),
+             tenths(born) or None) for state, cell, address, weight, zone, flavor, born in entries], kind != "diff"))
 
     def work_item(self, now, fields):
         (op, most, n_prefix, dialogue, band, cost, prompt, group, prefix, patience, bits) = fields
-        use_case = self.use_cases[int(band)]
-        hinted = whole(bits) & 1 and cost != "-" and use_case.pace
+        use_case, hinted = self.profile.use_cases[int(band)], whole(bits) & 1 and cost != "-"
         slip = door.Slip(
             use_case, prompt=whole(prompt), most_out=whole(most), patience=tenths(patience), session=dialogue,
             prefix="" if prefix.strip("0-") == "" else prefix, prefix_tokens=whole(n_prefix),
-            likely_out=max(1, tenths(cost) // use_case.pace) if hinted else None, account=whole(group),
-            benefit_share=self.over_share)
+            likely_out=self.profile.likely_out(use_case, tenths(cost) if hinted else None), account=whole(group),
+            benefit_share=self.profile.over_share)
         self.slips[op], self.slip_ids[slip], self.sends[slip] = slip, op, []
         self.out_now[slip], self.closed[slip] = 0, False
         self.router.arrived(now, slip)
@@ -226,12 +162,8 @@
     def report(self, text):
         if text in ("-", ""):
             return None
-        values = dict(zip(self.fields, (None if v in ("", "-") else float(v) for v in text.split(","))))
-        waiting, latency = values.get("x1"), values.get("lat_ms")
-        return door.Report(
-            held=values.get("rif"), memory_share=values.get("x0"),
-            tokens_waiting=None if waiting is None else waiting * 1000,
-            latency=None if latency is None else int(latency * 10))
+        values = text.split(",")
+        return self.profile.report({f: float(v) for f, v in zip(self.profile.fields, values) if v not in ("", "-")})
 
 
 EVENTS = {"WORK_ITEM": ("work_item", 11), "HEAD_RECEIVED": ("head_received", 4),
--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -1,5 +1,6 @@
 """Connections to one worker: kept open after an answer, capped, and closed when idle for long."""
 import asyncio
+import errno
 from collections import deque
 
 from ramppulley.wire.sockets import connect
@@ -7,11 +8,34 @@
 MOST, IDLE = 512, 10.0          # open to one worker; seconds that an idle one is kept
 
 
+OURS = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL    # say nothing of the worker
+
+
+class NoRoom(OSError):
+    """This process may not open one more connection."""
+
+
+class Budget:
+    """How many connections to all workers may be open at once; at the bound, the one idle longest makes room."""
+
+    def __init__(self, most):
+        self.most, self.open, self.kept = most, 0, {}       # kept: idle wires, longest first, with their Connections
+
+    def take(self):
+        """Room for one more; raises NoRoom."""
+        if self.open >= self.most:
+            if not self.kept:
+                raise NoRoom(errno.EMFILE, "all connections to workers are in use")
+            wire, owner = next(iter(self.kept.items()))
+            owner.retire(wire)
+        self.open += 1
+
+
 class Connections:
     """To one address. `get` gives an open one or makes one; the handshake counts in the send's own time."""
 
-    def __init__(self, host, port, most=MOST, idle=IDLE):
-        self.host, self.port, self.idle_for = host, port, idle
+    def __init__(self, host, port, most=MOST, idle=IDLE, budget=None):
+        self.host, self.port, self.idle_for, self.budget = host, port, idle, budget or Budget(most + 1)
         self.idle, self.made, self._room = deque(), 0, asyncio.Semaphore(most)
         self.spare = None               # kept open for small calls, so that no handshake stands before them
 
@@ -21,21 +45,45 @@
         `when_room` is called when the wait for one of the capped number is over."""
         loop = asyncio.get_running_loop()
         await self._room.acquire()
-        if when_room is not None:
-            when_room()
         try:
             while self.idle:
-                wire, since = self.idle.pop()       # the last used first: the others may idle out
+                wire, since = self.idle[-1]         # the last used first: the others may idle out
                 if loop.time() - since < self.idle_for and wire.idle():
+                    self.idle.pop()
+                    self.budget.kept.pop(wire, None)
+                    if when_room is not None:
+                        when_room()
                     return wire
-                wire.close()
-            wire = await connect(self.host, self.port, within)
-            self.made += 1
-            return wire
+                self.retire(wire)
+            self.budget.take()
+            if when_room is not None:
+                when_room()
+            return await self._open(within)
         except BaseException:
             self._room.release()
             raise
 
+    async def _open(self, within):
+        try:
+            wire = await connect(self.host, self.port, within)
+        except BaseException as fault:
+            self.budget.open -= 1
+            if isinstance(fault, OSError) and fault.errno in OURS:
+                raise NoRoom(fault.errno, fault.strerror) from fault
+            raise
+        self.made += 1
+        return wire
+
+    def retire(self, wire):
+        """Closes an idle one."""
+        self.idle = deque(kept for kept in self.idle if kept[0] is not wire)
+        self._closed(wire)
+
+    def _closed(self, wire):
+        self.budget.kept.pop(wire, None)
+        self.budget.open -= 1
+        wire.close()
+
     async def get_spare(self, within):
         """The spare one if it is free and good, else as `get`. Raises as `get`."""
         wire, self.spare = self.spare, None
@@ -43,7 +91,7 @@
             if wire.idle():
                 await self._room.acquire()
                 return wire
-            wire.close()
+            self._closed(wire)
         return await self.get(within)
 
     def put_spare(self, wire):
@@ -58,36 +106,39 @@
         if self.spare is not None and self.spare.idle():
             return
         if self.spare is not None:
-            self.spare.close()
+            self._closed(self.spare)
             self.spare = None
         try:
-            wire = await connect(self.host, self.port, within)
+            self.budget.take()
+            wire = await self._open(within)
         except OSError:
             return
         if self.spare is None:
-            self.made, self.spare = self.made + 1, wire
+            self.spare = wire
         else:
-            wire.close()
+            self._closed(wire)
 
     def put(self, wire):
         """After a whole answer that keeps the connection open."""
         self.idle.append((wire, asyncio.get_running_loop().time()))
+        self.budget.kept[wire] = self
         self._room.release()
 
     def drop(self, wire):
         """After anything else: closing is also how a send is withdrawn."""
         wire.reset()
+        self._closed(wire)
         self._room.release()
 
     def tidy(self):
         """Closes what idled too long; called now and then."""
         now = asyncio.get_running_loop().time()
         while self.idle and now - self.idle[0][1] >= self.idle_for:
-            self.idle.popleft()[0].close()
+            self._closed(self.idle.popleft()[0])
 
     def close(self):
         if self.spare is not None:
-            self.spare.close()
+            self._closed(self.spare)
             self.spare = None
         while self.idle:
-            self.idle.pop()[0].close()
+            self._closed(self.idle.pop()[0])
--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -11,17 +11,16 @@
 
 from ramppulley import door
 from ramppulley.engines import proof
-from ramppulley.engines.connections import Connections
 from ramppulley.engines.reports import FORMAT_HEADER, HEADER, of_metrics, of_orca
-from ramppulley.service.clock import TENTHS
-from ramppulley.service.neutral import CHAT, COMPLETION, EMBEDDINGS, ONE_STAGE, RERANK, End, Usage
+from ramppulley.engines.sending import Over, Sender, extend
+from ramppulley.engines.usage import usage_of
+from ramppulley.service.neutral import CHAT, COMPLETION, EMBEDDINGS, ONE_STAGE, RERANK, End
 from ramppulley.wire import http, sse
 from ramppulley.wire.faults import BadMessage
 
 PATHS = {CHAT: "/v1/chat/completions", COMPLETION: "/v1/completions", EMBEDDINGS: "/v1/embeddings",
          RERANK: "/v1/rerank"}
 ANSWER_MOST = 64 << 20          # bytes of an answer that comes whole
-QUIET = 120.0                   # seconds without a byte of a stream that has begun
 EXTENSIONS = "kv-extensions"
 RELEASE_TRIES, RELEASE_PAUSE, PAUSE_MOST = 24, 0.05, 1.0    # of letting go; seconds between, doubling up to
 
@@ -34,91 +33,21 @@
     return state
 
 
-def usage_of(told):
-    """The usage object of an answer, or None where it tells nothing usable."""
-    if not isinstance(told, dict):
-        return None
-    details = told.get("prompt_tokens_details")
-    figures = [told.get("prompt_tokens"), told.get("total_tokens"), told.get("completion_tokens"),
-               details.get("cached_tokens") if isinstance(details, dict) else None]
-    prompt, total, written, cached = (f if isinstance(f, int) and f >= 0 else 0 for f in figures)
-    return Usage(prompt or total, cached, written)
-
-
-def _extend(limit):
-    """The send's time-out ends with its first token; from then on only a long quiet ends it."""
-    try:
-        limit.reschedule(asyncio.get_running_loop().time() + QUIET)
-    except RuntimeError:
-        pass                    # it ran out in this very turn: the cancel is under way
-
-
-class _Over(Exception):
-    """Carries the End of a send out of its stages."""
-
-    def __init__(self, end):
-        super().__init__(end.why)
-        self.end = end
-
-
-class Worker:
-    """What the connector keeps for one worker."""
-
-    def __init__(self, address, most, idle):
-        self.address, self.extensions = address, frozenset()
-        self.connections = Connections(*address, most, idle)
-
-
-class OpenAIEngines:
+class OpenAIEngines(Sender):
     """All workers of all pools, by their boxes. `full`: statuses that prove that a question was not taken."""
 
     def __init__(self, log, full=(429, 503), most=512, idle=10.0, connect_within=1.0, load="answers"):
-        self.log, self.full, self.most, self.idle = log, full, most, idle
-        self.connect_within, self.load = connect_within, load
-        self.workers, self.tasks, self.holding, self.closing = {}, set(), {}, False
-
-    def know(self, box, address):
-        """A worker's address; a change of it drops the old connections."""
-        worker = self.workers.get(box)
-        if worker is None or worker.address != address:
-            if worker:
-                worker.connections.close()
-            self.workers[box] = Worker(address, self.most, self.idle)
-
-    def tidy(self):
-        for worker in self.workers.values():
-            worker.connections.tidy()
-
-    async def close(self):
-        self.closing = True
-        for task in set(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for worker in self.workers.values():
-            worker.connections.close()
-
-    def _task(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+        super().__init__(log, most, idle, connect_within)
+        self.full, self.load, self.holding = full, load, {}
 
     # Connector
-    def start(self, core, out):
-        out.stage = proof.QUEUE
-        out.task = self._task(self._send(core, out))
-        out.task.add_done_callback(lambda task: self._over(core, out, self._end_of(out, task)))
-
     def _over(self, core, out, end):
         """Tells a send's end; the state that a read may have left unknown to us is let go by the send's own id."""
-        core.ended(out, end)
+        super()._over(core, out, end)
         unknown = out.reads and end.outcome not in door.NEVER_RAN and not self.closing
         if unknown and "release" in self.workers[out.box].extensions:
             self._in_turn(out.life, out.box, self._release(out.life, out.box, None, f"-s{out.number}"))
 
-    def withdraw(self, out):
-        out.task.cancel()
-
     def hold(self, core, life, box):
         async def ask():
             held = False
@@ -176,41 +105,19 @@
         self._task(self._guarded(ask(), lambda: core.probed(box, door.NO_ROUTE, None)))
 
     # Inside
-    async def _guarded(self, asking, failed):
-        try:
-            async with asyncio.timeout(self.connect_within):
-                await asking
-        except (OSError, TimeoutError, BadMessage):
-            failed()
-
     async def _call(self, box, method, path, body=b""):
         """One small exchange beside the questions: (status, headers, body)."""
         connections = self.workers[box].connections
         wire = await connections.get_spare(self.connect_within)
-        parser = http.AnswerParser(1 << 20)
         try:
-            await wire.send(http.request(method, path, {
+            parser = await self._exchange(wire, http.request(method, path, {
                 "host": f"{connections.host}:{connections.port}", "content-type": "application/json"}, body))
-            while not parser.done:
-                data = await wire.receive()
-                if not data:
-                    raise BadMessage("the connection ended")
-                parser.feed(data)
         except BaseException:
             connections.drop(wire)
             raise
         (connections.put_spare if parser.keep_alive else connections.drop)(wire)
         return parser.status, parser.headers, parser.take()
 
-    def _end_of(self, out, task):
-        if task.cancelled():
-            return End(proof.of(out.stage, proof.WITHDRAWN), "withdrawn")
-        fault = task.exception()
-        if fault is not None:           # ours; as we cannot tell how far it came, it may have run
-            self.log.error("connector fault", error=repr(fault))
-            return End(door.FAULT, f"a fault in the router: {fault!r}")
-        return task.result()
-
     def _request(self, out, connections):
         ask, body = out.life.ask, dict(out.life.ask.body)
         if ask.kind in (CHAT, COMPLETION):
@@ -235,45 +142,16 @@
             headers["idempotency-key"] = ask.receipt
         return http.request("POST", PATHS[ask.kind], headers, msgspec.json.encode(body))
 
-    async def _send(self, core, out):
-        """One send from handshake to its End; never raises but for our own faults and cancelling."""
-        connections = self.workers[out.box].connections
-        loop, wire, whole = asyncio.get_running_loop(), None, False
-
-        def connects():
-            out.stage = proof.CONNECT
-
-        try:
-            async with asyncio.timeout_at(loop.time() + out.time_out / TENTHS) as limit:
-                wire = await connections.get(min(self.connect_within, out.time_out / TENTHS), connects)
-                request = self._request(out, connections)
-                out.stage = proof.WRITE
-                await wire.send(request)
-                out.stage = proof.WAIT
-                end, whole = await self._answer(core, out, wire, limit)
-                return end
-        except _Over as over:
-            return over.end
-        except BadMessage as fault:
-            return End(proof.of(max(out.stage, proof.WAIT, key=_ORDER.index), proof.GARBLED), str(fault))
-        except TimeoutError:
-            return End(proof.of(out.stage, proof.TIMED_OUT), f"timed out, {out.stage}")
-        except OSError as fault:
-            return End(proof.of(out.stage, proof.LOST), f"{out.stage}: {fault.strerror or fault}")
-        finally:
-            if wire is not None:
-                (connections.put if whole else connections.drop)(wire)
-
     async def _answer(self, core, out, wire, limit):
         """(End, whether the connection may be used again)."""
         parser, streams, report = http.AnswerParser(ANSWER_MOST), None, None
         worker = self.workers[out.box]
         while not parser.done:
             if streams is not None and out.first is not None:
-                _extend(limit)
+                extend(limit)
             data = await wire.receive()
             if not data:
-                raise _Over(End(proof.of(out.stage, proof.LOST), f"{out.stage}: the connection ended",
+                raise Over(End(proof.of(out.stage, proof.LOST), f"{out.stage}: the connection ended",
                                 streams.report if streams else None))
             parser.feed(data)
             if parser.status and out.stage == proof.WAIT:
@@ -326,9 +204,6 @@
                    status=parser.status, body=body)
 
 
-_ORDER = [proof.QUEUE, proof.CONNECT, proof.WRITE, proof.WAIT, proof.ANSWER]
-
-
 class _Stream:
     """A stream of events from a writer: each whole event goes on at once, then the next bytes are read."""
 
@@ -344,19 +219,19 @@
                 self.done = True
                 continue
             if event.startswith(b'{"error"'):
-                raise _Over(End(door.FAULT, f"an error event: {event[:200].decode('utf-8', 'replace')}", self.report))
+                raise Over(End(door.FAULT, f"an error event: {event[:200].decode('utf-8', 'replace')}", self.report))
             only_usage = False
             if b'"usage":{' in event or b'"usage": {' in event or not event.startswith(b"{"):
                 only_usage = self._usage(event)
             if self.out.first is None and not only_usage:
                 if not self.core.first(self.out):
-                    raise _Over(End(door.UNDONE, "answered already", self.report))
-                _extend(limit)
+                    raise Over(End(door.UNDONE, "answered already", self.report))
+                extend(limit)
             if not only_usage or self.out.life.ask.with_usage:
                 try:
                     await self.out.life.sink.piece(event)
                 except OSError:
-                    raise _Over(End(door.UNDONE, "the client left", self.report)) from None
+                    raise Over(End(door.UNDONE, "the client left", self.report)) from None
 
     def _usage(self, event):
         """Whether the event is nothing but the usage, which goes on only if the client asked for it."""
--- /dev/null
+++ b/ramppulley/engines/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's workers: read, write, leases, probes."""
--- /dev/null
+++ b/ramppulley/engines/platform/connector.py
@@ -0,0 +1,200 @@
+"""The connector for the platform's workers: the client's request goes to a reader, then the same one to a writer.
+
+What is held for a question is let go by `DELETE`, which any worker takes: the one heard last is asked first, so that a dead
+holder cannot keep it. A read whose end was not heard may have left a state that nobody named; it is let go as well.
+"""
+import asyncio
+
+from ramppulley import door
+from ramppulley.engines import proof
+from ramppulley.engines.connections import NoRoom
+from ramppulley.engines.platform.proof import of_status
+from ramppulley.engines.sending import Over, Sender, extend
+from ramppulley.engines.usage import usage_of
+from ramppulley.service.clock import TENTHS
+from ramppulley.service.neutral import End
+from ramppulley.wire import http, platform, sse
+from ramppulley.wire.faults import BadMessage
+
+BODY_MOST = 1 << 20             # of an answer in one piece, and of what one receive brings of a stream
+RELEASE_TRIES = 8               # of letting go, each at another worker
+CLOSED_FIRST = 0.02             # seconds from a read's closing to letting go of what it may have left
+
+
+class PlatformEngines(Sender):
+    """All workers by their boxes. Times in tenths of a millisecond; `reports`: how reports come, `answers` or `probe`."""
+
+    def __init__(self, log, profile, budget):
+        within = profile.connect_within / TENTHS
+        super().__init__(log, budget.most, max(1.0, 0.8 * profile.idle / TENTHS), within, budget)
+        self.profile, self.heard = profile, {}      # heard: boxes, the one heard longest ago first
+        self.in_answers = profile.how == "answers"
+
+    def hear(self, box):
+        self.heard.pop(box, None)
+        self.heard[box] = asyncio.get_running_loop().time()
+
+    def forget(self, box):
+        """A worker that is gone: its idle connections are not needed any more."""
+        self.heard.pop(box, None)
+        self.workers[box].connections.close()
+
+    # Connector
+    def hold(self, core, life, box):
+        """The protocol has no call for it."""
+        asyncio.get_running_loop().call_soon(core.placed, life, box, False)
+
+    def let_go(self, life, box, state):
+        self._task(self._release(life.ask.name))
+
+    def probe(self, core, box):
+        self._task(self._probe(core, box))
+
+    # Inside
+    def _over(self, core, out, end):
+        if out.reads and end.outcome not in door.NEVER_RAN and not self.closing:
+            self._task(self._release_unheard(out.life))
+        super()._over(core, out, end)
+
+    async def _release_unheard(self, life):
+        await asyncio.sleep(CLOSED_FIRST)
+        if life.state is None and not any(not out.reads for out in life.out):   # else the next one's would go too
+            await self._release(life.ask.name)
+
+    def _helpers(self):
+        """Whom to ask: those heard last first, and among those heard of late the ones with a connection at rest."""
+        now = asyncio.get_running_loop().time()
+        boxes = [box for box in reversed(self.heard) if box.state != "gone"]
+        boxes += [box for box in self.workers if box not in self.heard and box.state == "ready"]
+        return sorted(boxes, key=lambda box: (now - self.heard.get(box, 0) > 1.0,
+                                              not self.workers[box].connections.idle))
+
+    async def _release(self, name):
+        asked = set()
+        for _ in range(RELEASE_TRIES):
+            helpers = self._helpers()
+            box = next((b for b in helpers if b not in asked), None)
+            if box is None:
+                if not asked:
+                    return              # no worker was ever listed
+                asked.clear()
+                continue
+            asked.add(box)
+            try:
+                async with asyncio.timeout(self.connect_within / 2):
+                    status, _ = await self._call(box, "DELETE", platform.lease(name))
+                if status < 300:
+                    return
+            except NoRoom:
+                await asyncio.sleep(CLOSED_FIRST)
+            except (OSError, TimeoutError, BadMessage):
+                pass
+        self.log.warning("nobody took the release of what is held", question=name)
+
+    async def _probe(self, core, box):
+        outcome, report = door.TOO_SLOW, None
+        try:
+            async with asyncio.timeout(self.connect_within):
+                status, told = await self._call(box, "GET", platform.LOAD)
+            outcome = door.DONE if status == 200 else door.FAULT if status != 503 else door.NO_ROOM
+            if told is not None:
+                report = self.profile.report(told)
+        except NoRoom:
+            outcome = door.DONE         # ours: it says nothing of the worker
+        except BadMessage:
+            outcome = door.FAULT
+        except TimeoutError:
+            pass
+        except OSError:
+            outcome = door.NO_ROUTE
+        core.probed(box, outcome, report)
+
+    async def _call(self, box, method, target):
+        """One small exchange beside the questions: (status, load report's figures or None)."""
+        connections = self.workers[box].connections
+        wire = await connections.get(self.connect_within)
+        whole = False
+        try:
+            parser = await self._exchange(wire, http.request(method, target, {
+                "host": f"{connections.host}:{connections.port}"}))
+            whole = parser.keep_alive
+        finally:
+            (connections.put if whole else connections.drop)(wire)
+        self.hear(box)
+        return parser.status, platform.figures(parser.take() if method == "GET" else None)
+
+    def _request(self, out, connections):
+        given = out.life.ask.body           # the client's Request
+        headers = {"host": given.headers.get("host", "origin"), platform.ID: out.life.ask.name,
+                   platform.LIMIT: max(1, out.time_out // 10)}
+        headers |= {name: given.headers[name] for name in platform.PASSED_ON if name in given.headers}
+        return http.request(given.method, given.target, headers, given.body)
+
+    async def _answer(self, core, out, wire, limit):
+        """(End, whether the connection may be used again)."""
+        parser, stream, report, first = http.AnswerParser(BODY_MOST), None, None, True
+        while not parser.done:
+            data = await wire.receive()
+            if not data:
+                raise Over(End(proof.of(out.stage, proof.LOST), f"{out.stage}: the connection ended", report))
+            parser.feed(data)
+            if parser.status and first:
+                first, out.stage = False, proof.ANSWER
+                self.hear(out.box)
+                if self.in_answers and platform.REPORT in parser.headers:
+                    report = self._report(parser.headers[platform.REPORT])
+                if parser.status == 200 and not out.reads:
+                    if not parser.headers.get("content-type", "").startswith("text/event-stream"):
+                        raise BadMessage("a stream was asked for")
+                    stream = _Stream(core, out)
+            if stream is not None:
+                await stream.feed(parser.take(), limit)
+                self.hear(out.box)
+        if stream is not None:
+            return stream.end(self), parser.keep_alive
+        body = parser.take()
+        outcome = of_status(parser.status, parser.headers.get(platform.NEVER) == "1", out.reads)
+        usage = None
+        if outcome == door.READ:
+            told = platform.figures(body) or {}
+            usage = usage_of({"prompt_tokens_details": told})
+        return End(outcome, f"status {parser.status}", report, usage,
+                   out.life.ask.name if outcome == door.READ else None), parser.keep_alive
+
+    def _report(self, text):
+        told = platform.figures(text)
+        return None if told is None else self.profile.report(told)
+
+
+class _Stream:
+    """A stream of events from a writer: whole events go on at once and unchanged, then the next bytes are read."""
+
+    def __init__(self, core, out):
+        self.core, self.out, self.blocks, self.tail = core, out, sse.Blocks(), b""
+
+    async def feed(self, data, limit):
+        events = self.blocks.feed(data)
+        if not events:
+            return
+        self.tail = (self.tail + events)[-4096:]
+        if self.out.first is None:
+            if not self.core.first(self.out):
+                raise Over(End(door.UNDONE, "answered already"))
+        extend(limit)
+        try:
+            await self.out.life.sink.piece(events)
+        except OSError:
+            raise Over(End(door.UNDONE, "the client left")) from None
+
+    def end(self, engines):
+        if self.blocks.rest.strip():
+            raise BadMessage("the stream ended within an event")
+        if self.out.first is None:
+            raise BadMessage("a stream without an event")
+        usage, report = None, None
+        for event in self.tail.split(b"\n\n"):
+            if event.startswith(b": Srv-Load:") and engines.in_answers:
+                report = engines._report(event[11:].strip())
+            elif event.startswith(b"data:") and b'"usage"' in event:
+                usage = usage_of((platform.figures(event[5:].strip()) or {}).get("usage")) or usage
+        return End(door.DONE, "", report, usage)
--- /dev/null
+++ b/ramppulley/fleet/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of workers: its watch and its changes."""
--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -11,6 +11,7 @@
 
 from ramppulley.fronts.http import answers, bodies
 from ramppulley.fronts.http.gather import Gatherer
+from ramppulley.fronts.reading import Connection
 from ramppulley.service import naming as names
 from ramppulley.service.neutral import (CHAT, COMPLETION, EMBEDDINGS, FULFILLED, LEFT, ONE_STAGE, RERANK, Ask)
 from ramppulley.wire import http, sse
@@ -53,22 +54,6 @@
             self.done.set_result(ending)
 
 
-class _Connection:
-    """One client's socket: its parser, and the receive that is under way, which outlives a question."""
-
-    def __init__(self, wire, parser):
-        self.wire, self.parser, self.watch = wire, parser, None
-
-    def watched(self):
-        self.watch = self.watch or asyncio.get_running_loop().create_task(self.wire.receive())
-        return self.watch
-
-    def taken(self):
-        """What the finished receive brought; b"" also for a reset."""
-        watch, self.watch = self.watch, None
-        return b"" if watch.exception() else watch.result()
-
-
 class HttpFront:
     """Serves the API for a `switchboard`: it knows the pools by model and kind, and takes questions."""
 
@@ -76,7 +61,7 @@
                  slow=20.0):
         self.board, self.log, self.body_most, self.idle, self.slow = switchboard, log, body_most, idle, slow
         self.listener = Listener(self._serve, host, port, connections)
-        self.serial, self.stopping, self.at_rest = itertools.count(), False, set()
+        self.serial, self.stopping, self.at_rest = itertools.count(), False, {}
 
     @property
     def port(self):
@@ -89,16 +74,16 @@
     async def stop(self, within):
         """Connections end after the answer that they wait for; those still open after `within` seconds are cut."""
         self.stopping = True
-        for wire in self.at_rest:
+        for wire in list(self.at_rest):
             wire.end_reading()
         await self.listener.stop(within)
 
     async def _serve(self, wire):
-        conn = _Connection(wire, http.RequestParser(self.body_most))
+        conn = Connection(wire, http.RequestParser(self.body_most))
         try:
             while True:
                 try:
-                    request = await self._next(conn)
+                    request = await conn.next(self.idle, self.slow, self.at_rest, lambda: self.stopping)
                 except BadMessage as fault:
                     await self._refuse(wire, fault.status, str(fault))
                     return
@@ -112,36 +97,6 @@
             if conn.watch is not None:
                 conn.watch.cancel()
 
-    async def _next(self, conn):
-        """The next whole request; None at the end of the connection."""
-        loop, parser, began = asyncio.get_running_loop(), conn.parser, None
-        while not parser.ready:
-            limit = self.idle
-            if parser.begun:
-                began = began or loop.time()
-                limit = began + self.slow - loop.time()
-                if limit <= 0:
-                    raise TimeoutError
-            elif self.stopping:
-                return None
-            if not parser.begun:
-                self.at_rest.add(conn.wire)
-            try:
-                watch = conn.watched()
-                await asyncio.wait({watch}, timeout=limit)
-            finally:
-                self.at_rest.discard(conn.wire)
-            if not watch.done():
-                raise TimeoutError
-            data = conn.taken()
-            if not data:
-                return None
-            parser.feed(data)
-            if parser.wants_continue and not parser.ready:
-                parser.wants_continue = False
-                await conn.wire.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        return parser.ready.popleft()
-
     async def _refuse(self, wire, status, text):
         body = answers.error(text, "invalid_request_error")
         try:
@@ -210,15 +165,19 @@
         prefix, prefix_bytes = names.beginning_of(kind, body)
         told = metadata.get("x-request-id", "")
         name = told if 0 < len(told) <= 64 and told.isascii() and told.replace("-", "").isalnum() else "q"
+        most_out = bodies.most_out(kind, checked)
+        # an answer of a token or two has a pace only if it has a length: a third of it would be none
+        short = kind in ONE_STAGE or most_out < 3
         return Ask(
             name=f"{name}.{self.board.mark}{next(self.serial)}", kind=kind, model=checked.model, use_case=use_case,
             body=body, patience=names.patience_of(naming, metadata, core.use_cases[use_case], prompt),
-            prompt=max(1, prompt), weighed=0 if counted else weighed, most_out=bodies.most_out(kind, checked),
+            prompt=max(1, prompt), weighed=0 if counted else weighed, most_out=most_out,
+            likely_out=1 if short else None,
             stream=bool(getattr(checked, "stream", False)),
             with_usage=not getattr(checked, "stream", False) or bool(
                 getattr(checked, "stream_options", None) and checked.stream_options.include_usage),
             account=account, session=names.session_of(naming, metadata, kind, body), prefix=prefix,
-            prefix_tokens=estimator.tokens(checked.model, prefix_bytes) if prefix_bytes else 0,
+            prefix_tokens=min(max(1, prompt), estimator.tokens(checked.model, prefix_bytes)) if prefix_bytes else 0,
             receipt=metadata.get(naming.receipt_header, "")[:names.TEXT_MOST]), core
 
     async def _question(self, conn, ask, core, keep):
--- /dev/null
+++ b/ramppulley/fronts/platform/server.py
@@ -0,0 +1,205 @@
+"""The front's connections on the platform: checked requests to the core, workers' events to the clients unchanged.
+
+What cannot be read gets its error and a close at once. A client sends one request at a time; one that speaks while its
+question is out is no such client.
+"""
+import asyncio
+
+from ramppulley.fronts.platform import answers
+from ramppulley.fronts.reading import Connection
+from ramppulley.service.neutral import CHAT, FULFILLED, LEFT, Ask
+from ramppulley.wire import http, platform
+from ramppulley.wire.faults import BadMessage
+from ramppulley.wire.sockets import Listener
+
+BODY_MOST = 256 << 10
+SILENT, FIRST_SLOW = 1.5, 1.0   # seconds: a new connection's first byte, and its first request's last one
+AT_REST, SLOW = 30.0, 5.0       # seconds: between requests; for a later request, and for a client that does not read
+REST_LEAST, NEW_LEAST = 2.0, 0.2        # a connection at rest, or one never heard, may be closed for another after
+LINGER, LINGER_MOST = 0.4, 1 << 20      # seconds and bytes that a refused client's sending is still read
+HELD = {"content-type": "text/event-stream", "cache-control": "no-cache"}
+
+
+class Sink:
+    """One question's side of a connection."""
+
+    def __init__(self, wire, keep):
+        self.wire, self.keep = wire, keep
+        self.done = asyncio.get_running_loop().create_future()
+        self.begun, self.busy = False, False
+
+    async def piece(self, events):
+        out = http.chunk(events)
+        if not self.begun:
+            self.begun = True
+            out = http.answer_head(200, HELD, self.keep()) + out
+        self.busy = True
+        async with asyncio.timeout(SLOW):       # a client that reads nothing for so long has left
+            await self.wire.send(out)
+        self.busy = False
+
+    def final(self, ending):
+        if not self.done.done():
+            self.done.set_result(ending)
+
+
+class PlatformFront:
+    """Serves the platform's clients for one `core`. `known()`: whether there is a list of workers to go by."""
+
+    def __init__(self, core, profile, log, known, *, host, port, connections, questions):
+        self.core, self.profile, self.log, self.known, self.questions = core, profile, log, known, questions
+        self.cases = {name: i for i, name in enumerate(profile.case_names)}
+        self.open, self.at_rest, self.closing, self.stopping, self.refused = {}, {}, False, False, 0
+        self.listener = Listener(self._serve, host, port, connections, make_room=self._make_room)
+
+    @property
+    def port(self):
+        return self.listener.port
+
+    def start(self):
+        self.listener.start()
+        return self
+
+    async def stop(self, still, within):
+        """For `still` seconds new requests are taken, each on a connection that ends with its answer; then none, and what
+        was taken gets `within` seconds."""
+        self.closing = True
+        for wire, (_, conn) in list(self.at_rest.items()):
+            if conn.served:
+                wire.end_reading()
+        await asyncio.sleep(still)
+        self.stopping = True
+        for wire in list(self.at_rest):
+            wire.end_reading()
+        await self.listener.stop(within)
+
+    def _make_room(self):
+        """One connection more than there may be: the one silent longest makes room. Whether one did."""
+        now = asyncio.get_running_loop().time()
+        for spoken, least in ((False, NEW_LEAST), (True, REST_LEAST)):
+            for wire, (since, conn) in self.at_rest.items():
+                if now - since >= least and bool(conn.served) == spoken:
+                    del self.at_rest[wire]
+                    wire.end_reading()
+                    return True
+        return False
+
+    async def _serve(self, wire):
+        conn = Connection(wire, http.RequestParser(BODY_MOST))
+        try:
+            while True:
+                idle, slow = (AT_REST, SLOW) if conn.served else (SILENT, FIRST_SLOW)
+                try:
+                    request = await conn.next(idle, slow, self.at_rest, self._ends)
+                except BadMessage as fault:
+                    await self._refuse(conn, fault.status, str(fault))
+                    return
+                except TimeoutError:
+                    if conn.parser.begun:
+                        await self._refuse(conn, 408, "the request did not come in time")
+                    return
+                if request is None or not await self._handle(conn, request) or self.stopping:
+                    return
+        finally:
+            if conn.watch is not None:
+                conn.watch.cancel()
+
+    def _ends(self):
+        return self.stopping
+
+    async def _refuse(self, conn, status, text):
+        """The error, and then a close that does not eat it: what the client still sends is read for a while."""
+        self.refused += 1
+        wire, loop = conn.wire, asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(LINGER):
+                await wire.send(http.answer(status, answers.TEXT, text.encode() + b"\n", keep_alive=False))
+                wire.end_writing()
+                until, read = loop.time() + LINGER, 0
+                while read < LINGER_MOST and loop.time() < until:
+                    watch = conn.watched()
+                    await asyncio.wait({watch})
+                    data = conn.taken()
+                    if not data:
+                        return
+                    read += len(data)
+        except (OSError, TimeoutError):
+            pass
+
+    async def _handle(self, conn, request):
+        """Answers one request; whether the connection stays open."""
+        if request.path == platform.READY and request.method in ("GET", "HEAD"):
+            ready = self.known() and not self.closing
+            keep = request.keep_alive and not self.closing
+            await conn.wire.send(http.answer(200 if ready else 503, answers.TEXT, b"" if request.method == "HEAD" else (
+                b"ready\n" if ready else b"not ready\n"), keep))
+            return keep
+        try:
+            if conn.parser.begun or conn.parser.ready:
+                raise BadMessage("one request at a time")
+            ask = self._ask(request)
+        except BadMessage as fault:
+            await self._refuse(conn, getattr(fault, "status", 400), str(fault))
+            return False
+        return await self._question(conn, ask, request.keep_alive)
+
+    def _ask(self, request):
+        """One neutral question; raises BadMessage."""
+        if request.method != "POST" or not request.target.startswith("/") or request.target.startswith("/-/"):
+            raise Refused(f"no {request.method} {request.path[:80]} here", 404)
+        told = platform.asked(request.headers)
+        case = self.cases.get(told.case)
+        if case is None:
+            raise Refused(f"{platform.CASE}: no such class {told.case[:40]!r}", 400)
+        if told.name in self.open:
+            raise Refused(f"{platform.ID}: this one is open already", 409)
+        if len(self.open) >= self.questions:
+            raise Refused("the router holds as many requests as it may", 503)
+        profile = self.profile
+        hint = None if told.hint_us is None else told.hint_us // 100
+        return Ask(
+            name=told.name, kind=CHAT, model="", use_case=case, body=request, patience=told.limit_ms * 10,
+            prompt=len(request.body) // 4 if told.prompt is None else told.prompt, most_out=told.most_out, stream=True,
+            account=told.owner, session=told.key, prefix=told.prefix, prefix_tokens=told.prefix_tokens,
+            likely_out=profile.likely_out(profile.use_cases[case], hint), benefit_share=profile.over_share)
+
+    async def _question(self, conn, ask, keep):
+        """From taken to its final answer; whether the connection stays open."""
+        sink, spoke = Sink(conn.wire, lambda: keep and not self.closing), False
+        self.open[ask.name] = sink
+        life = self.core.take(ask, sink)
+        try:
+            while not sink.done.done():
+                waits = {sink.done} if spoke else {sink.done, conn.watched()}
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                if not spoke and conn.watch.done():
+                    if not conn.taken() and not sink.done.done():
+                        return False            # the client left
+                    spoke = True
+                    if not sink.begun and not sink.done.done():
+                        self.core.left(life)
+                        await self._refuse(conn, 400, "one request at a time")
+                        return False
+            ending = sink.done.result()
+            if ending.how == LEFT or sink.busy:
+                return False
+            keep = keep and not spoke and not self.closing
+            if ending.how == FULFILLED:
+                await conn.wire.send(http.LAST_CHUNK)
+                return keep
+            if sink.begun:
+                return False                    # without the last chunk: no client can take it for a whole answer
+            status, headers, body = answers.of_ending(ending)
+            await conn.wire.send(http.answer(status, headers, body, keep))
+            return keep
+        finally:
+            del self.open[ask.name]
+            self.core.left(life)                # no effect after an ending
+
+
+class Refused(BadMessage):
+    """A request that can be read and not be taken."""
+
+    def __init__(self, text, status):
+        super().__init__(text)
+        self.status = status
--- /dev/null
+++ b/ramppulley/fronts/reading.py
@@ -0,0 +1,50 @@
+"""One client's connection as all HTTP fronts read it: whole requests, one by one, and a watch that outlives a question."""
+import asyncio
+
+
+class Connection:
+    """One client's socket: its parser, and the receive that is under way, which outlives a question."""
+
+    def __init__(self, wire, parser):
+        self.wire, self.parser, self.watch, self.served = wire, parser, None, 0
+
+    def watched(self):
+        self.watch = self.watch or asyncio.get_running_loop().create_task(self.wire.receive())
+        return self.watch
+
+    def taken(self):
+        """What the finished receive brought; b"" also for a reset."""
+        watch, self.watch = self.watch, None
+        return b"" if watch.exception() else watch.result()
+
+    async def next(self, idle, slow, at_rest, stopping):
+        """The next whole request; None at the end of the connection, TimeoutError after `idle` seconds without a byte or
+        `slow` for one that has begun. `at_rest`: here it waits with nothing begun, since when."""
+        loop, parser, began = asyncio.get_running_loop(), self.parser, None
+        while not parser.ready:
+            limit = idle
+            if parser.begun:
+                began = began or loop.time()
+                limit = began + slow - loop.time()
+                if limit <= 0:
+                    raise TimeoutError
+            elif stopping():
+                return None
+            if not parser.begun:
+                at_rest[self.wire] = loop.time(), self
+            try:
+                watch = self.watched()
+                await asyncio.wait({watch}, timeout=limit)
+            finally:
+                at_rest.pop(self.wire, None)
+            if not watch.done():
+                raise TimeoutError
+            data = self.taken()
+            if not data:
+                return None
+            parser.feed(data)
+            if parser.wants_continue and not parser.ready:
+                parser.wants_continue = False
+                await self.wire.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.served += 1
+        return parser.ready.popleft()
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -5,14 +5,15 @@
 body, its Life and one Out for each of its sends (four at most); tokens pass through and are never collected.
 """
 from ramppulley import door
-from ramppulley.service.neutral import (FULFILLED, LEFT, ONE_STAGE, SCRAPPED, TURNED_BACK, Ending, Life, Out)
+from ramppulley.service.neutral import FULFILLED, LEFT, SCRAPPED, TURNED_BACK, Ending, Life, Out
 from ramppulley.service.record import QuestionRecord, SendRecord
 
 
 class Core:
     """One pool's questions and its module. Implements `door.Host`.
 
-    `make_router(host, now)` gives the module, or a baseline with the same events. `names` tells a box's name.
+    `make_router(host, now)` gives the module, or a baseline with the same events. `names` tells a box's name, for the
+    record in `book`, if there is one.
     """
 
     def __init__(self, pool, make_router, connector, clock, use_cases, accounts, book, log, estimator, names):
@@ -25,12 +26,10 @@
     def take(self, ask, sink):
         """From here one final answer is owed; it comes by `sink.final`, perhaps before this returns."""
         now, use_case = self.clock.now(), self.use_cases[ask.use_case]
-        short = ask.kind in ONE_STAGE or ask.most_out < 3
-        # an answer of a token or two has a pace only if it has a length: a third of it would be none
         slip = door.Slip(
-            use_case, prompt=max(1, ask.prompt), most_out=ask.most_out, patience=ask.patience, session=ask.session,
-            prefix=ask.prefix, prefix_tokens=min(ask.prefix_tokens, ask.prompt), likely_out=1 if short else None,
-            account=self.accounts.get(ask.account, len(self.accounts)))
+            use_case, prompt=ask.prompt, most_out=ask.most_out, patience=ask.patience, session=ask.session,
+            prefix=ask.prefix, prefix_tokens=ask.prefix_tokens, likely_out=ask.likely_out,
+            account=self.accounts.get(ask.account, len(self.accounts)), benefit_share=ask.benefit_share)
         life = self.lives[slip] = Life(ask, slip, sink, now)
         self.taken += 1
         self._tell(life, self.router.arrived, slip)
@@ -192,6 +191,8 @@
         if life.ending is None or life.out or life.slip not in self.lives:
             return
         del self.lives[life.slip]
+        if self.book is None:
+            return
         ask, ending, used = life.ask, life.ending, life.usage
         case = life.slip.use_case
         self.book.add(QuestionRecord(
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -16,12 +16,12 @@
 
 @dataclass(eq=False)
 class Ask:
-    """One question as any front hands it in; `body` is the decoded message, with unknown fields untouched."""
+    """One question as any front hands it in; `body` is what its connector sends on, with unknown fields untouched."""
     name: str                       # unique at this router; goes to the engines as X-Request-Id
     kind: str
     model: str
     use_case: str
-    body: dict
+    body: Any                       # as the front's own connector sends it on
     patience: int                   # the client leaves after this
     prompt: int                     # tokens, estimated
     weighed: int = 0                # bytes that the estimate came from; 0 = counted, nothing to learn
@@ -33,6 +33,8 @@
     prefix: str = ""
     prefix_tokens: int = 0
     receipt: str = ""               # Idempotency-Key, passed on to the engines
+    likely_out: int | None = None   # tokens, where there is a hint
+    benefit_share: float = 1.0      # as in door.Slip
 
 
 @dataclass(frozen=True)
--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -60,6 +60,7 @@
         self.wants_continue = False
         self._parser, self._fault = httptools.HttpRequestParser(self), None
         self.on_message_begin()
+        self.begun = False
 
     def feed(self, data):
         """Raises BadMessage, or TooLarge with the status code that fits."""
@@ -78,6 +79,7 @@
 
     def on_message_begin(self):
         self._head, self._target, self._body, self._length, self._fed = _Head(), b"", [], 0, 0
+        self.begun = True
 
     def on_url(self, url):
         self._target += url
@@ -123,7 +125,8 @@
     """Feeds on what an engine sent for one request; the body's pieces are taken with `take`.
 
     `status` is 0 until the head is whole; `done` when the body is. An answer that is framed by the end of the
-    connection is refused: it cannot be told from one cut short.
+    connection is refused: it cannot be told from one cut short. What comes behind the end in one piece with it spoils the
+    connection (`keep_alive`), not the answer.
     """
 
     def __init__(self, body_most):
@@ -142,6 +145,9 @@
         except httptools.HttpParserUpgrade as fault:
             raise BadMessage("an upgrade was not asked for") from fault
         except httptools.HttpParserError as fault:
+            if self.done:
+                self.keep_alive = False
+                return
             raise (self._fault or BadMessage(str(fault).strip("'\""))) from fault
         if self._head.in_head and self._head.size > HEAD_MOST:
             raise TooLarge("the answer's head is too large", 502)
@@ -151,10 +157,17 @@
         whole, self._pieces, self._waiting = b"".join(self._pieces), [], 0
         return whole
 
+    def on_message_begin(self):
+        if self.done:
+            self.keep_alive = False
+
     def on_header(self, name, value):
-        self._head.add(name, value)
+        if not self.done:
+            self._head.add(name, value)
 
     def on_headers_complete(self):
+        if self.done:
+            return
         status = self._parser.get_status_code()
         if status < 200:                # 100 Continue and 103 Early Hints are not the answer
             self._head = _Head()
@@ -167,6 +180,8 @@
                 raise self._fault
 
     def on_body(self, body):
+        if self.done:
+            return
         self._waiting += len(body)
         if self._waiting > self.body_most:
             self._fault = TooLarge(f"the answer is over {self.body_most} bytes", 502)
@@ -174,7 +189,7 @@
         self._pieces.append(body)
 
     def on_message_complete(self):
-        if self.status:
+        if self.status and not self.done:
             self.done, self.keep_alive = True, self._parser.should_keep_alive()
 
 
--- /dev/null
+++ b/ramppulley/wire/platform.py
@@ -0,0 +1,153 @@
+"""The platform's words, without sockets: headers, extras, load reports and entries of the list.
+
+What cannot be read raises BadMessage where a client said it, and is no report or no entry where a machine did.
+"""
+import re
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import msgspec
+
+from ramppulley.wire.faults import BadMessage
+
+READY, HEALTHY, LOAD, LEASES, LIST = "/-/ready", "/-/healthy", "/-/load", "/kv/leases/", "/api/targets"
+ID, CASE, KEY, LIMIT, EXTRA = "req-id", "req-kind", "req-key", "req-deadline-ms", "req-extra"
+RETRY, HINT, OWNER = "req-retry", "req-cost", "req-owner"
+REPORT, NEVER = "srv-load", "srv-declined"
+PASSED_ON = CASE, KEY, EXTRA, RETRY, HINT, OWNER, "content-type"
+STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
+NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+DIGITS = re.compile(r"[0-9]{1,12}")
+TEXT_MOST = 256
+
+
+@dataclass
+class Asked:
+    """What a client's headers say. Times: microseconds of the hint, milliseconds of the limit."""
+    name: str
+    case: str
+    limit_ms: int
+    key: str = ""
+    owner: str = ""
+    hint_us: int | None = None
+    prompt: int | None = None
+    most_out: int = 0
+    prefix: str = ""
+    prefix_tokens: int = 0
+
+
+def number(text, what):
+    """
+    >>> number("4800", "x")
+    4800
+    """
+    if not DIGITS.fullmatch(text):
+        raise BadMessage(f"{what}: a whole number is needed, not {text[:40]!r}")
+    return int(text)
+
+
+def asked(headers):
+    """Raises BadMessage for headers that do not tell who asks for what and how long.
+
+    >>> asked({"req-id": "9b", "req-kind": "chat", "req-deadline-ms": "4800",
+    ...        "req-extra": "prefix=5c,prompt_len=5120,prefix_len=2048,max_out=800"}).prefix_tokens
+    2048
+    """
+    name, case = headers.get(ID, ""), headers.get(CASE, "")
+    if not NAME.fullmatch(name):
+        raise BadMessage(f"{ID}: a name of 1 to 128 letters and digits is needed")
+    limit = number(headers.get(LIMIT, ""), LIMIT)
+    if not limit:
+        raise BadMessage(f"{LIMIT}: the time is up")
+    told = Asked(name, case, limit, headers.get(KEY, "")[:TEXT_MOST], headers.get(OWNER, "")[:TEXT_MOST])
+    if HINT in headers:
+        told.hint_us = number(headers[HINT], HINT)
+    for part in headers.get(EXTRA, "").split(",") if headers.get(EXTRA) else ():
+        word, _, value = part.strip().partition("=")
+        if word == "prefix":
+            told.prefix = "" if value.strip("0-") == "" else value[:TEXT_MOST]
+        elif word in ("prompt_len", "prefix_len", "max_out"):
+            figure = number(value, f"{EXTRA}: {word}")
+            if figure > 100_000_000:
+                raise BadMessage(f"{EXTRA}: {word} is out of all bounds")
+            if word == "prompt_len":
+                told.prompt = figure
+            elif word == "prefix_len":
+                told.prefix_tokens = figure
+            else:
+                told.most_out = figure
+    return told
+
+
+def figures(text):
+    """A load report's figures; None for what is no report.
+
+    >>> figures(b'{"inflight":7}'), figures("noise"), figures(None)
+    ({'inflight': 7}, None, None)
+    """
+    try:
+        told = msgspec.json.decode(text) if text else None
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+    return told if isinstance(told, dict) else None
+
+
+def lease(name):
+    """
+    >>> lease("9b1f")
+    '/kv/leases/9b1f'
+    """
+    return LEASES + quote(name, safe="")
+
+
+@dataclass
+class Change:
+    """One object of the list's watch."""
+    seq: int
+    whole: bool
+    entries: list
+
+
+def change(text):
+    """One line of the watch or the whole list; raises BadMessage."""
+    try:
+        told = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeError) as fault:
+        raise BadMessage(f"the list cannot be read: {fault}") from fault
+    return change_of(told)
+
+
+def change_of(told):
+    hosts = told.get("hosts") if isinstance(told, dict) else None
+    if not isinstance(hosts, list) or not isinstance(told.get("seq"), int):
+        raise BadMessage("the list has no seq or no hosts")
+    return Change(told["seq"], bool(told.get("whole")), [e for e in hosts if isinstance(e, dict)])
+
+
+def address(text):
+    """(host, port) of a `dial`; raises BadMessage.
+
+    >>> address("10.1.0.18:8081")
+    ('10.1.0.18', 8081)
+    """
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadMessage(f"no address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def entry(told, kinds, zones, cell_of=int):
+    """(id, state, cell, zone, kind, weight, born in ms since 1970, address) of one entry; raises BadMessage."""
+    try:
+        state, name = STATES[told["health"]], told["host"]
+        if not isinstance(name, str) or not name:
+            raise BadMessage("an entry without a host")
+        zone = zones.index(told["site"]) if told.get("site") in zones else len(zones)
+        kind = kinds.index(told["class"]) if told.get("class") in kinds else None
+        if kind is None:
+            raise BadMessage(f"{name}: a class that the settings do not name: {told.get('class')!r}")
+        where = address(told["dial"]) if told.get("dial") or state != "gone" else None
+        return (name, state, cell_of(told.get("block") or 0), zone, kind, float(told.get("share") or 1.0),
+                int(told.get("born_ms") or 0), where)
+    except (KeyError, TypeError, ValueError) as fault:
+        raise BadMessage(f"an entry that cannot be read: {fault!r}") from fault
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -65,6 +65,13 @@
             return False
         return False
 
+    def end_writing(self):
+        """The peer sees the end; what it still sends can be read."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass                # already disconnected
+
     def end_reading(self):
         """A pending receive ends as if the peer had closed; what is being sent goes on."""
         try:
@@ -110,10 +117,14 @@
 
 
 class Listener:
-    """Accepts connections and runs `serve(wire)` in a task for each, at most `most` at once."""
+    """Accepts connections and runs `serve(wire)` in a task for each, at most `most` at once.
+
+    One more is closed, unless `make_room()` ends another's wait for it.
+    """
 
-    def __init__(self, serve, host="127.0.0.1", port=0, most=10_000, backlog=1024):
+    def __init__(self, serve, host="127.0.0.1", port=0, most=10_000, backlog=1024, make_room=lambda: False):
         self.serve, self.most, self.tasks, self.turned_away = serve, most, set(), 0
+        self.make_room = make_room
         self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -138,7 +149,7 @@
             except OSError:             # out of file handles, or the peer left in between
                 await asyncio.sleep(0.02)
                 continue
-            if len(self.tasks) >= self.most:
+            if len(self.tasks) >= self.most and not self.make_room():
                 self.turned_away += 1
                 sock.close()
                 continue
--- a/ramppulley/wire/sse.py
+++ b/ramppulley/wire/sse.py
@@ -2,11 +2,37 @@
 
 Source: the HTML standard, section 9.2 'Server-sent events'; OpenAI API reference, 'Streaming'.
 """
-from ramppulley.wire.faults import TooLarge
+from ramppulley.wire.faults import BadMessage, TooLarge
 
 DONE = b"[DONE]"
 
 
+class Blocks:
+    """Cuts a byte stream into whole events as they came, for passing on unchanged.
+
+    >>> blocks = Blocks()
+    >>> blocks.feed(b"data: 1\\n\\ndata: 2\\n"), blocks.feed(b"\\n: x\\n\\n"), blocks.rest
+    (b'data: 1\\n\\n', b'data: 2\\n\\n: x\\n\\n', b'')
+    """
+
+    def __init__(self, most=64 << 10):
+        self.most, self.rest = most, b""
+
+    def feed(self, data):
+        """All events that `data` completes, in one piece; raises BadMessage for what is none, TooLarge over `most` bytes."""
+        whole = self.rest + data if self.rest else data
+        end = whole.rfind(b"\n\n") + 2
+        if end == 1:
+            end = 0
+        found, self.rest = whole[:end], whole[end:]
+        if len(self.rest) > self.most:
+            raise TooLarge(f"an event is over {self.most} bytes", 502)
+        for event in found[:-2].split(b"\n\n") if found else ():
+            if not event.startswith((b"data:", b":", b"event:", b"id:", b"retry:")):
+                raise BadMessage("what came in the stream is no event")
+        return found
+
+
 class Splitter:
     """Cuts a byte stream into whole events, so that one that breaks off is never passed on.
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -178,7 +178,7 @@
 def test_answers_of_one_token_do_not_make_a_writer_look_slow():
     it = world()
     for _ in range(3):
-        it.core.take(Ask("q.r0-0", CHAT, "m", "c", {}, 6 * S, 100, most_out=1), it.fake)
+        it.core.take(Ask("q.r0-0", CHAT, "m", "c", {}, 6 * S, 100, most_out=1, likely_out=1), it.fake)
         read(it)
         it.core.first(out(it))
         it.clock.run_to(it.clock.now() + 8)         # a token's end takes a moment
