--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -20,8 +20,9 @@
 from ramppulley.fronts.platform.server import PlatformFront
 from ramppulley.profile import Profile
 from ramppulley.rules import Router
-from ramppulley.service.clock import LoopClock
+from ramppulley.service.clock import TENTHS, LoopClock
 from ramppulley.service.core import Core
+from ramppulley.service.neutral import FULFILLED, LEFT
 from ramppulley.wire import platform
 from ramppulley.wire.faults import BadMessage
 
@@ -73,6 +74,26 @@
     return told
 
 
+class Troubled:
+    """A book that keeps nothing: one line for each question that was not fulfilled and had been sent, so many a second."""
+
+    def __init__(self, log, clock, most=5):
+        self.log, self.clock, self.most, self.second, self.lines = log, clock, most, 0, 0
+
+    def add(self, record):
+        if record.how in (FULFILLED, LEFT) or not record.sends:
+            return
+        second = self.clock.now() // TENTHS
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        if self.lines <= self.most:
+            sends = "; ".join(f"{send.worker} {(send.start - record.taken) // 10}..{(send.end - record.taken) // 10} ms "
+                              f"{send.outcome} ({send.why})" for send in record.sends)
+            self.log.info(record.how.replace(" ", "_"), question=record.name, effect=record.effect,
+                          patience=record.patience // 10, ended=(record.ended - record.taken) // 10, sends=f"[{sends}]")
+
+
 class Node:
     """What one configuration asks for, made; `start`, `reload` and `stop` are its life."""
 
@@ -94,10 +115,11 @@
         clients = int(room * CLIENTS)
         self.clock = LoopClock(loop)
         self.engines = PlatformEngines(self.log, profile, Budget(room - clients))
+        self.listing = Listing(profile, self.log)
         accounts = {"": 0} | {name: i for i, name in enumerate(profile.account_names)}
         self.core = Core("", lambda host, now: profile.router(self.make, host, self.seed, now), self.engines, self.clock,
-                         profile.use_cases, accounts, None, self.log, None, None)
-        self.listing = Listing(profile, self.log)
+                         profile.use_cases, accounts, Troubled(self.log, self.clock), self.log, None,
+                         self.listing.workers.ids.get)
         if self.known is not None and self.known.entries:
             self._told(self.known)
         self.watch = Watch(self.discovery, self._told, lambda: self.listing.seq, self.log,
@@ -179,7 +201,7 @@
         raise Unusable(f"cannot listen on {told['listen']}: {fault.strerror}") from fault
     gc.collect()
     gc.freeze()                 # what the start made stays: no full collection walks it again
-    gc.set_threshold(20_000, 20, 50)
+    gc.set_threshold(5_000, 10, 20)     # what is left is small: collected often, it does not grow
     await stopping.wait()
     await node.stop()
 
--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -6,6 +6,7 @@
 from ramppulley.wire.sockets import connect
 
 MOST, IDLE = 512, 10.0          # open to one worker; seconds that an idle one is kept
+FRESH = 0.02                    # seconds after an answer in which its connection is taken last
 
 
 OURS = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL    # say nothing of the worker
@@ -47,9 +48,12 @@
         await self._room.acquire()
         try:
             while self.idle:
-                wire, since = self.idle[-1]         # the last used first: the others may idle out
-                if loop.time() - since < self.idle_for and wire.idle():
-                    self.idle.pop()
+                # the last used first: the others may idle out. But one that a peer closes right after its answer looks
+                # good for a moment
+                now = loop.time()
+                wire, since = next((kept for kept in reversed(self.idle) if now - kept[1] >= FRESH), self.idle[-1])
+                if now - since < self.idle_for and wire.idle():
+                    self.idle.remove((wire, since))
                     self.budget.kept.pop(wire, None)
                     if when_room is not None:
                         when_room()
--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -93,6 +93,7 @@
                     return
                 if request is None or not await self._handle(conn, request):
                     return
+                request = None                  # its body is not kept while the connection rests
         finally:
             if conn.watch is not None:
                 conn.watch.cancel()
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -14,7 +14,7 @@
 
 BODY_MOST = 256 << 10
 SILENT, FIRST_SLOW = 1.5, 1.0   # seconds: a new connection's first byte, and its first request's last one
-AT_REST, SLOW = 30.0, 5.0       # seconds: between requests; for a later request, and for a client that does not read
+AT_REST, SLOW = 6.0, 5.0        # seconds: between requests; for a later request, and for a client that does not read
 REST_LEAST, NEW_LEAST = 2.0, 0.2        # a connection at rest, or one never heard, may be closed for another after
 LINGER, LINGER_MOST = 0.4, 1 << 20      # seconds and bytes that a refused client's sending is still read
 HELD = {"content-type": "text/event-stream", "cache-control": "no-cache"}
@@ -100,6 +100,7 @@
                     return
                 if request is None or not await self._handle(conn, request) or self.stopping:
                     return
+                request = None                  # its body is not kept while the connection rests
         finally:
             if conn.watch is not None:
                 conn.watch.cancel()
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -191,6 +191,7 @@
         if life.ending is None or life.out or life.slip not in self.lives:
             return
         del self.lives[life.slip]
+        life.ask.body = None            # the largest part; what else points here may stand till the next collection
         if self.book is None:
             return
         ask, ending, used = life.ask, life.ending, life.usage
--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -114,6 +114,7 @@
         self.ready.append(Request(
             self._parser.get_method().decode("ascii"), self._target.decode("latin-1"), self._head.headers,
             b"".join(self._body), self._parser.should_keep_alive()))
+        self._body = []                 # not kept through the question and the rest after it
         self.begun = self.wants_continue = False
 
     def _stop(self, fault):
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -35,6 +35,8 @@
         got = bytes(self._view[:count])
         if count == len(self._buffer) < BUFFER:     # much is coming: few streams of tokens ever need this
             self._grow(min(BUFFER, 4 * count))
+        elif count < len(self._buffer) > LEAST:     # it came: many connections at rest must not each hold so much
+            self._grow(LEAST)
         return got
 
     def _grow(self, size):
