--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -57,6 +57,7 @@
                     self.budget.kept.pop(wire, None)
                     if when_room is not None:
                         when_room()
+                    wire.rested = now - since
                     return wire
                 self.retire(wire)
             self.budget.take()
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -28,6 +28,7 @@
         within = profile.connect_within / TENTHS
         super().__init__(log, budget.most, max(1.0, 0.8 * profile.idle / TENTHS), within, budget)
         self.profile, self.heard = profile, {}      # heard: boxes, the one heard longest ago first
+        self.owed, self.releasing = {}, {}          # lives whose state must go, after how long; those whose is going
         self.in_answers = profile.how == "answers"
 
     def hear(self, box):
@@ -45,21 +46,35 @@
         asyncio.get_running_loop().call_soon(core.placed, life, box, False)
 
     def let_go(self, life, box, state):
-        self._task(self._release(life.ask.name))
+        self._owe(life, 0.0)
 
     def probe(self, core, box):
         self._task(self._probe(core, box))
 
     # Inside
     def _over(self, core, out, end):
-        if out.reads and end.outcome not in door.NEVER_RAN and not self.closing:
-            self._task(self._release_unheard(out.life))
         super()._over(core, out, end)
-
-    async def _release_unheard(self, life):
-        await asyncio.sleep(CLOSED_FIRST)
-        if life.state is None and not any(not out.reads for out in life.out):   # else the next one's would go too
-            await self._release(life.ask.name)
+        if out.reads and end.outcome not in door.NEVER_RAN:
+            self._owe(out.life, CLOSED_FIRST)       # what it may have left; the worker must see our close before
+        elif out.life in self.owed:
+            self._owe(out.life, 0.0)
+
+    def _owe(self, life, after):
+        """A release lets go of all that is held for a question at any worker, also of what the next send has just left:
+        it waits while a send is out, and is not needed any more once the answer has begun."""
+        if not self.closing:
+            self.owed[life] = after
+            asyncio.get_running_loop().call_soon(self._settle, life)
+
+    def _settle(self, life):
+        if life in self.owed and not life.out and life not in self.releasing:
+            task = self.releasing[life] = self._task(self._release(life.ask.name, self.owed.pop(life)))
+            task.add_done_callback(lambda _: self.releasing.pop(life))
+
+    async def _before(self, out):
+        """A send after a release waits until that was heard: its own state would go with it."""
+        if out.life in self.releasing:
+            await asyncio.wait({self.releasing[out.life]})
 
     def _helpers(self):
         """Whom to ask: those heard last first, and among those heard of late the ones with a connection at rest."""
@@ -69,7 +84,8 @@
         return sorted(boxes, key=lambda box: (now - self.heard.get(box, 0) > 1.0,
                                               not self.workers[box].connections.idle))
 
-    async def _release(self, name):
+    async def _release(self, name, after):
+        await asyncio.sleep(after)
         asked = set()
         for _ in range(RELEASE_TRIES):
             helpers = self._helpers()
@@ -146,7 +162,7 @@
                 if parser.status == 200 and not out.reads:
                     if not parser.headers.get("content-type", "").startswith("text/event-stream"):
                         raise BadMessage("a stream was asked for")
-                    stream = _Stream(core, out)
+                    stream = _Stream(core, out, self.owed)
             if stream is not None:
                 await stream.feed(parser.take(), limit)
                 self.hear(out.box)
@@ -169,8 +185,8 @@
 class _Stream:
     """A stream of events from a writer: whole events go on at once and unchanged, then the next bytes are read."""
 
-    def __init__(self, core, out):
-        self.core, self.out, self.blocks, self.tail = core, out, sse.Blocks(), b""
+    def __init__(self, core, out, owed):
+        self.core, self.out, self.owed, self.blocks, self.tail = core, out, owed, sse.Blocks(), b""
 
     async def feed(self, data, limit):
         events = self.blocks.feed(data)
@@ -180,6 +196,7 @@
         if self.out.first is None:
             if not self.core.first(self.out):
                 raise Over(End(door.UNDONE, "answered already"))
+            self.owed.pop(self.out.life, None)      # with the first token all else goes by itself
         extend(limit)
         try:
             await self.out.life.sink.piece(events)
--- a/ramppulley/engines/sending.py
+++ b/ramppulley/engines/sending.py
@@ -78,6 +78,9 @@
     def _over(self, core, out, end):
         core.ended(out, end)
 
+    async def _before(self, out):
+        """What must be over before this send."""
+
     def _request(self, out, connections):
         raise NotImplementedError
 
@@ -122,6 +125,7 @@
 
         try:
             async with asyncio.timeout_at(loop.time() + out.time_out / TENTHS) as limit:
+                await self._before(out)
                 wire = await connections.get(min(self.connect_within, out.time_out / TENTHS), connects)
                 request = self._request(out, connections)
                 out.stage = proof.WRITE
@@ -138,7 +142,8 @@
         except NoRoom as fault:         # ours, before a byte went out
             return End(door.STALE, f"{out.stage}: {fault.strerror}")
         except OSError as fault:
-            return End(proof.of(out.stage, proof.LOST), f"{out.stage}: {fault.strerror or fault}")
+            rested = "" if wire is None or wire.rested is None else f", after {wire.rested * 1000:.0f} ms at rest"
+            return End(proof.of(out.stage, proof.LOST), f"{out.stage}: {fault.strerror or fault}{rested}")
         finally:
             if wire is not None:
                 (connections.put if whole else connections.drop)(wire)
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -11,14 +11,14 @@
 class Wire:
     """One connected socket."""
 
-    __slots__ = ("sock", "loop", "_buffer", "_view", "closed", "opened", "_busy")
+    __slots__ = ("sock", "loop", "_buffer", "_view", "closed", "opened", "rested", "_busy")
 
     def __init__(self, sock):
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.loop, self.closed, self.opened = sock, asyncio.get_running_loop(), False, None
-        self._busy = 0
+        self._busy, self.rested = 0, None       # rested: seconds without use before this one; None for a new one
         self._buffer = self._view = None
 
     async def receive(self):
