--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -129,7 +129,7 @@
                                    questions=profile.questions_most or clients).start()
         self._tidying = loop.create_task(self._tidy())
         self.log.info("listening", port=self.front.port, workers=len(self.listing.workers.boxes), clients=clients,
-                      to_workers=self.engines.budget.most, idle_s=profile.idle / TENTHS, connect_ms=profile.connect_within / 10)
+                      to_workers=self.engines.budget.most)
         return self
 
     def _told(self, change):
--- a/ramppulley/door.py
+++ b/ramppulley/door.py
@@ -90,6 +90,7 @@
 #: Outcomes of a send. Those in NEVER_RAN prove that nothing ran.
 DONE, READ, FAULT, NO_ROOM, NO_STATE = "done", "read", "fault", "no_room", "no_state"
 TOO_SLOW, NO_ROUTE, CUT, UNDONE, STALE = "too_slow", "no_route", "cut", "undone", "stale"
+SPOILT = "spoilt"       # a writer's answer began and cannot be read: it may have run, and the state that it fetched is gone
 NEVER_RAN = (READ, NO_ROOM, NO_STATE, NO_ROUTE, STALE)
 
 
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -59,6 +59,10 @@
         elif out.life in self.owed:
             self._owe(out.life, 0.0)
 
+    def _garbled(self, out):
+        """A writer's answer comes with its first token, and then the state has been fetched."""
+        return door.FAULT if out.reads else door.SPOILT
+
     def _owe(self, life, after):
         """A release lets go of all that is held for a question at any worker, also of what the next send has just left:
         it waits while a send is out, and is not needed any more once the answer has begun."""
--- a/ramppulley/engines/platform/proof.py
+++ b/ramppulley/engines/platform/proof.py
@@ -7,6 +7,7 @@
 | 503 or 504 with `Srv-Declined: 1` | no room | never |
 | 410 with `Srv-Declined: 1`, from a writer | no state | never |
 | anything else | fault | it may have |
+| bytes that are no answer, from a writer | spoilt: the state was fetched | it may have |
 """
 from ramppulley import door
 
--- a/ramppulley/engines/sending.py
+++ b/ramppulley/engines/sending.py
@@ -88,6 +88,10 @@
         """(End, whether the connection may be used again)."""
         raise NotImplementedError
 
+    def _garbled(self, out):
+        """What an answer that cannot be read proves."""
+        return proof.of(max(out.stage, proof.WAIT, key=_ORDER.index), proof.GARBLED)
+
     async def _guarded(self, asking, failed, within=None):
         try:
             async with asyncio.timeout(within or self.connect_within):
@@ -136,7 +140,7 @@
         except Over as over:
             return over.end
         except BadMessage as fault:
-            return End(proof.of(max(out.stage, proof.WAIT, key=_ORDER.index), proof.GARBLED), str(fault))
+            return End(self._garbled(out), str(fault))
         except TimeoutError:
             return End(proof.of(out.stage, proof.TIMED_OUT), f"timed out, {out.stage}")
         except NoRoom as fault:         # ours, before a byte went out
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -4,6 +4,7 @@
 question is out is no such client.
 """
 import asyncio
+from collections import deque
 
 from ramppulley.fronts.platform import answers
 from ramppulley.fronts.reading import Connection
@@ -13,11 +14,12 @@
 from ramppulley.wire.sockets import Listener
 
 BODY_MOST = 256 << 10
-SILENT, FIRST_SLOW = 1.5, 1.0   # seconds: a new connection's first byte, and its first request's last one
+SILENT, FIRST_SLOW = 1.2, 1.2   # seconds: a new connection's first byte, and its first request's last one
 AT_REST, SLOW = 6.0, 5.0        # seconds: between requests; for a later request, and for a client that does not read
-REST_LEAST, NEW_LEAST = 2.0, 0.2        # a connection at rest, or one never heard, may be closed for another after
+REST_LEAST, NEW_LEAST = 2.0, 0.1        # a connection at rest, or one never heard, may be closed for another after
 LINGER, LINGER_MOST = 0.4, 1 << 20      # seconds and bytes that a refused client's sending is still read
-HELD = {"content-type": "text/event-stream", "cache-control": "no-cache"}
+USED = 1024                     # names of ended requests that a new one may not bear
+EVENTS = {"content-type": "text/event-stream", "cache-control": "no-cache"}
 
 
 class Sink:
@@ -32,7 +34,7 @@
         out = http.chunk(events)
         if not self.begun:
             self.begun = True
-            out = http.answer_head(200, HELD, self.keep()) + out
+            out = http.answer_head(200, EVENTS, self.keep()) + out
         self.busy = True
         async with asyncio.timeout(SLOW):       # a client that reads nothing for so long has left
             await self.wire.send(out)
@@ -49,6 +51,7 @@
     def __init__(self, core, profile, log, known, *, host, port, connections, questions):
         self.core, self.profile, self.log, self.known, self.questions = core, profile, log, known, questions
         self.cases = {name: i for i, name in enumerate(profile.case_names)}
+        self.used, self.last = set(), deque(maxlen=USED)    # names of those that ended last
         self.open, self.at_rest, self.closing, self.stopping, self.refused = {}, {}, False, False, 0
         self.listener = Listener(self._serve, host, port, connections, make_room=self._make_room)
 
@@ -88,7 +91,8 @@
         conn = Connection(wire, http.RequestParser(BODY_MOST))
         try:
             while True:
-                idle, slow = (AT_REST, SLOW) if conn.served else (SILENT, FIRST_SLOW)
+                rest = AT_REST if 2 * len(self.listener.tasks) < self.listener.most else REST_LEAST
+                idle, slow = (rest, SLOW) if conn.served else (SILENT, FIRST_SLOW)
                 try:
                     request = await conn.next(idle, slow, self.at_rest, self._ends)
                 except BadMessage as fault:
@@ -152,8 +156,8 @@
         case = self.cases.get(told.case)
         if case is None:
             raise Refused(f"{platform.CASE}: no such class {told.case[:40]!r}", 400)
-        if told.name in self.open:
-            raise Refused(f"{platform.ID}: this one is open already", 409)
+        if told.name in self.open or told.name in self.used:
+            raise Refused(f"{platform.ID}: this one was used already", 409)
         if len(self.open) >= self.questions:
             raise Refused("the router holds as many requests as it may", 503)
         profile = self.profile
@@ -195,6 +199,10 @@
             return keep
         finally:
             del self.open[ask.name]
+            if len(self.last) == USED:
+                self.used.discard(self.last[0])
+            self.last.append(ask.name)
+            self.used.add(ask.name)
             self.core.left(life)                # no effect after an ending
 
 
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -11,7 +11,7 @@
 from random import Random
 from zlib import crc32
 
-from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, TOO_SLOW
+from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, TOO_SLOW
 from ramppulley.parts import Actor, Figures, Kept, Roster, Samples, Send, busiest, lot, mean, middle
 
 MS = 10                         # tenths of a millisecond
@@ -376,7 +376,7 @@
             self.maybe_ran.append(send)
         if outcome == READ:
             self.held_by = send.worker
-        elif outcome == NO_STATE or (send.worker is self.held_by and outcome in (CUT, NO_ROUTE)):
+        elif outcome in (NO_STATE, SPOILT) or (send.worker is self.held_by and outcome in (CUT, NO_ROUTE)):
             self.held_by = None
         self.closed |= final
         if self.closed:
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -73,7 +73,9 @@
         if end.outcome == door.READ:
             if end.state is not None:
                 life.state, life.held_at = end.state, out.box
-        elif end.outcome == door.NO_STATE:
+        elif end.outcome in (door.NO_STATE, door.SPOILT):
+            if end.outcome == door.SPOILT and life.state is not None:
+                self.connector.let_go(life, life.held_at, life.state)   # gone by all that we know; if not, nobody else would
             life.state = life.held_at = None
         if end.usage:
             life.usage = end.usage
