--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -1,4 +1,4 @@
-"""`./rp`: up, serve, check, day, bench, test."""
+"""`./rp`: up, serve, platform, check, day, bench, test."""
 import asyncio
 import gc
 import signal
@@ -96,6 +96,13 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def platform():
+    """Run the router on the operators' platform, by PROXY_CONFIG (`python -m ramppulley platform` loads nothing else)."""
+    from ramppulley.daemon.platform import main
+    raise typer.Exit(main())
+
+
 @app.command()
 def check(settings: Path):
     """Check a settings file, and the list of workers that it names if that is there."""
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -18,6 +18,7 @@
 
 BODY_MOST = 1 << 20             # of an answer in one piece, and of what one receive brings of a stream
 RELEASE_TRIES = 8               # of letting go, each at another worker
+STOPPED = 4.4                   # seconds without an event: a client may not be left waiting for 5 (PROTOCOL, Figures)
 CLOSED_FIRST = 0.02             # seconds from a read's closing to letting go of what it may have left
 
 
@@ -201,7 +202,7 @@
             if not self.core.first(self.out):
                 raise Over(End(door.UNDONE, "answered already"))
             self.owed.pop(self.out.life, None)      # with the first token all else goes by itself
-        extend(limit)
+        extend(limit, STOPPED)
         try:
             await self.out.life.sink.piece(events)
         except OSError:
--- a/ramppulley/engines/sending.py
+++ b/ramppulley/engines/sending.py
@@ -153,9 +153,9 @@
                 (connections.put if whole else connections.drop)(wire)
 
 
-def extend(limit):
+def extend(limit, quiet=QUIET):
     """The send's time-out ends with its first token; from then on only a long quiet ends it."""
     try:
-        limit.reschedule(asyncio.get_running_loop().time() + QUIET)
+        limit.reschedule(asyncio.get_running_loop().time() + quiet)
     except RuntimeError:
         pass                    # it ran out in this very turn: the cancel is under way
--- /dev/null
+++ b/ramppulley/standin/platform.py
@@ -0,0 +1,139 @@
+"""Stand-ins of the platform around one router: its workers and its list, by their published protocol. For stories.
+
+Workers share one yard of read states, as a `DELETE` reaches each of them whoever holds it. `scripts` play one answer in place
+of the usual one: bytes, or a coroutine that is given the wire.
+"""
+import asyncio
+from collections import deque
+
+import msgspec
+
+from ramppulley.wire import http, platform
+from ramppulley.wire.faults import BadMessage
+from ramppulley.wire.sockets import Listener
+
+EVENTS = [b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n',
+          b'data: {"choices":[{"index":0,"delta":{"content":"b"},"finish_reason":"stop"}]}\n\n',
+          b'data: {"choices":[],"usage":{"prompt_tokens":80,"completion_tokens":2,'
+          b'"prompt_tokens_details":{"cached_tokens":64}}}\n\n', b"data: [DONE]\n\n"]
+HEAD = http.answer_head(200, {"content-type": "text/event-stream"})
+GOOD = HEAD + b"".join(http.chunk(event) for event in EVENTS) + http.LAST_CHUNK
+DECLINED = {"srv-declined": "1"}
+
+
+class PlatformWorker:
+    """One reader or writer. `log`: (method, path, id, body) of each request as it came."""
+
+    def __init__(self, name, role, yard, token_s=0.0):
+        self.name, self.role, self.yard, self.token_s = name, role, yard, token_s
+        self.scripts, self.log, self.limits, self.connections = deque(), [], [], 0
+
+    def start(self, port=0):
+        self.listener = Listener(self._serve, port=port).start()
+        return self
+
+    async def stop(self):
+        await self.listener.stop()
+
+    def of(self, method):
+        return [entry for entry in self.log if entry[0] == method]
+
+    async def _serve(self, wire):
+        self.connections += 1
+        parser = http.RequestParser(1 << 20)
+        while True:
+            while not parser.ready:
+                data = await wire.receive()
+                if not data:
+                    return
+                try:
+                    parser.feed(data)
+                except BadMessage:
+                    return
+            request = parser.ready.popleft()
+            name = request.headers.get(platform.ID, "")
+            self.log.append((request.method, request.target, name, request.body))
+            self.limits.append(request.headers.get(platform.LIMIT))
+            if request.method == "POST" and self.scripts:
+                script = self.scripts.popleft()
+                if isinstance(script, bytes):
+                    await wire.send(script)
+                else:
+                    await script(wire)
+            else:
+                await self._answer(wire, request, name)
+
+    async def _answer(self, wire, request, name):
+        if request.method == "DELETE":
+            self.yard.discard(request.target.rpartition("/")[2])
+            await wire.send(http.answer(204, {}))
+        elif request.method == "GET":
+            report = b'{"lat_ms":12,"x0":0.25,"x1":1.5}' if request.path == platform.LOAD else b""
+            await wire.send(http.answer(200, {}, report))
+        elif self.role == "read":
+            self.yard.add(name)
+            await wire.send(http.answer(202, {}, b'{"cached_tokens":64}'))
+        elif name not in self.yard:
+            await wire.send(http.answer(410, DECLINED))
+        else:
+            self.yard.discard(name)
+            if not self.token_s:
+                await wire.send(GOOD)
+                return
+            await wire.send(HEAD)
+            for event in EVENTS:
+                await asyncio.sleep(self.token_s)
+                await wire.send(http.chunk(event))
+            await wire.send(http.LAST_CHUNK)
+
+
+class PlatformList:
+    """Discovery: the whole list, and a watch for each that asks."""
+
+    def __init__(self):
+        self.seq, self.hosts, self.changes, self.watches, self.asked = 1, {}, [], set(), []
+
+    def start(self):
+        self.listener = Listener(self._serve).start()
+        return self
+
+    async def stop(self):
+        await self.listener.stop()
+
+    def tell(self, *entries):
+        """Changed entries, to all watches."""
+        self.seq += 1
+        for entry in entries:
+            self.hosts[entry["host"]] = entry
+        change = {"seq": self.seq, "whole": False, "hosts": list(entries)}
+        self.changes.append(change)
+        for queue in self.watches:
+            queue.put_nowait(change)
+
+    def whole(self):
+        return {"seq": self.seq, "whole": True, "hosts": [h for h in self.hosts.values() if h["health"] != "Gone"]}
+
+    async def _serve(self, wire):
+        parser = http.RequestParser(1 << 20)
+        while not parser.ready:
+            data = await wire.receive()
+            if not data:
+                return
+            parser.feed(data)
+        request, queue = parser.ready.popleft(), asyncio.Queue()
+        self.asked.append(request.target)
+        since = int(request.target.rpartition("from=")[2])
+        await wire.send(http.answer_head(200, {"content-type": "application/json"}))
+        for change in ([c for c in self.changes if c["seq"] > since] if since else [self.whole()]):
+            queue.put_nowait(change)
+        self.watches.add(queue)
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(0.5):
+                        line = msgspec.json.encode(await queue.get())
+                except TimeoutError:
+                    line = b""
+                await wire.send(http.chunk(line + b"\n"))
+        finally:
+            self.watches.discard(queue)
--- /dev/null
+++ b/tests/platform_rig.py
@@ -0,0 +1,122 @@
+"""The one helper of the platform's stories: a router between stand-in workers and a stand-in list, in this process."""
+import asyncio
+import socket
+
+from ramppulley.daemon.platform import Log, Node
+from ramppulley.rules import Router
+from ramppulley.standin.platform import PlatformList, PlatformWorker
+from ramppulley.wire import http
+from ramppulley.wire.sockets import connect
+
+SETTINGS = {
+    "Azs": ["north", "south"], "Kinds": ["prefill", "decode"], "MyZone": 0, "Me": 0, "NInstances": 1, "ResolutionS": 0.004,
+    "Bounds": {"Cancel": True, "ConnIdleS": 15.0, "ConnectTimeoutS": 0.25, "MaxOpen": 500, "MaxRetryAfterS": 0.5,
+               "MayDuplicate": False, "Probing": True, "RetryAfter": True, "SendCap": 4},
+    "Lanes": [{"AimS": 1.5, "Credit": 1.0, "Effect": "free", "GiveUpS": 7.5, "Name": "lookup", "Stream": True},
+              {"AimS": 2.0, "Credit": 2.0, "Effect": "single_shot", "GiveUpS": 10.0, "Name": "lodge", "Stream": True}],
+    "Report": {"Fields": ["lat_ms", "x0", "x1"], "How": "probe"},
+    "Rules": {"ColdFrom": 0.3, "ColdS": 10.0, "DrainGraceS": 0.5, "FallMultiple": 3.0, "FallS": 1.5},
+    "Specifics": {"AimUsPer1000PromptTokens": [40000.0, 40000.0], "MayReserve": False, "MemoryTokens": [200000, 150000],
+                  "ReleaseS": 0.5, "RoleByKind": ["read", "write"], "TokenAimS": [0.07, 0.08]}}
+
+
+class Quiet:
+    """A log's stream that keeps its lines."""
+
+    def __init__(self):
+        self.text = ""
+
+    def write(self, text):
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+class World:
+    def __init__(self, readers=1, writers=1, sockets=256, token_s=0.0, known=True, make=Router):
+        self.yard, self.known, self.sockets, self.make = set(), known, sockets, make
+        self.readers = [PlatformWorker(f"s-r{i}", "read", self.yard) for i in range(readers)]
+        self.writers = [PlatformWorker(f"s-w{i}", "write", self.yard, token_s) for i in range(writers)]
+        self.list, self.lines = PlatformList(), Quiet()
+
+    async def __aenter__(self):
+        self.list.start()
+        for worker in self.workers:
+            worker.start()
+            self.list.hosts[worker.name] = self.entry(worker)
+        self.node = await Node(self.config(), Log("n0", self.lines), self.make).start()
+        self.port = self.node.front.port
+        return self
+
+    async def __aexit__(self, *_):
+        await self.node.stop(still=0.0, within=0.5)
+        for worker in self.workers:
+            await worker.stop()
+        await self.list.stop()
+
+    @property
+    def workers(self):
+        return self.readers + self.writers
+
+    def config(self):
+        return {"name": "n0", "listen": f"127.0.0.1:{free_port()}",
+                "discovery": f"127.0.0.1:{self.list.listener.port}", "seed": "8c1f30d27a5be964",
+                "limits": {"cores": 1.0, "memory_mb": 128, "sockets": self.sockets},
+                "known": self.list.whole() if self.known else None, "settings": SETTINGS}
+
+    @staticmethod
+    def entry(worker, health="Ready", born=0, port=None):
+        return {"host": worker.name, "dial": f"127.0.0.1:{port or worker.listener.port}", "site": "north",
+                "class": "prefill" if worker.role == "read" else "decode", "block": 3, "health": health, "share": 1.0,
+                "born_ms": born}
+
+    async def connect(self):
+        return await connect("127.0.0.1", self.port, 1.0)
+
+    async def ask(self, name="9b1f03aa5c7e2d41", wire=None, **headers):
+        """(status, headers, body, whether it came whole)."""
+        own = wire or await self.connect()
+        try:
+            await own.send(question(name, **headers))
+            return await answer(own)
+        finally:
+            if wire is None:
+                own.close()
+
+    async def until(self, true, within=5.0):
+        async with asyncio.timeout(within):
+            while not true():
+                await asyncio.sleep(0.01)
+
+    async def settled(self):
+        """Nothing is held for any question, here or at the workers."""
+        await self.until(lambda: not self.yard and not self.node.core.lives and not self.node.engines.tasks)
+        assert not self.node.core.router.questions and not self.node.engines.owed and not self.node.engines.releasing
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+BODY = b'{"model":"chat","stream":true,"messages":[]}'
+
+
+def question(name, body=BODY, **headers):
+    told = {"host": "origin.svc", "req-id": name, "req-kind": "lookup", "req-key": "7f3a", "req-deadline-ms": "4000",
+            "req-extra": "prefix=5c0f,prompt_len=80,prefix_len=40,max_out=8"}
+    told |= {word.replace("_", "-"): value for word, value in headers.items()}
+    return http.request("POST", "/v1/chat/completions?a=b", {k: v for k, v in told.items() if v is not None}, body)
+
+
+async def answer(wire):
+    parser, body = http.AnswerParser(1 << 20), b""
+    while not parser.done:
+        data = await wire.receive()
+        if not data:
+            break
+        parser.feed(data)
+        body += parser.take()
+    return parser.status, parser.headers, body, parser.done
