--- a/ramppulley/standin/platform.py
+++ b/ramppulley/standin/platform.py
@@ -57,6 +57,8 @@
             if request.method == "POST" and self.scripts:
                 script = self.scripts.popleft()
                 if isinstance(script, bytes):
+                    if self.role == "write" and HEAD in script:     # an answer begins once the state has been fetched
+                        self.yard.discard(name)
                     await wire.send(script)
                 else:
                     await script(wire)
