--- a/ramppulley/standin/platform.py
+++ b/ramppulley/standin/platform.py
@@ -1,7 +1,7 @@
 """Stand-ins of the platform around one router: its workers and its list, by their published protocol. For stories.
 
-Workers share one yard of read states, as a `DELETE` reaches each of them whoever holds it. `scripts` play one answer in place
-of the usual one: bytes, or a coroutine that is given the wire.
+Workers share one yard of read states, as a `DELETE` reaches each of them whoever holds it. `scripts` play one answer in
+place of the usual one: bytes, or a coroutine that is given the wire.
 """
 import asyncio
 from collections import deque
