Workers replaced long ago are forgotten: a cold one's part does not shrink, nothing of them grows

Probable cause by the text: Worker.cold_gap divides the role's rate by all workers ever listed (same), so a cold one's gap grows with each replacement, and one worker is replaced every 2.5 s and cold for 10. Lines at fault: cold_gap's len(same); Router.listed never forgets.

--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -137,10 +137,13 @@
         for box, address in told:
             self.engines.know(box, address)
             if box.state == "gone":
-                self.engines.forget(box)
+                self.engines.rest(box)
         self.listed = self.listed or bool(told)
         if told:
             self.core.listed([box for box, _ in told])
+            for box in [box for box in self.engines.workers if box not in self.core.router.workers]:
+                self.engines.forget(box)
+                self.listing.forget(box)
 
     def reload(self, path):
         """The configuration was replaced: discovery may be elsewhere. One that cannot be used changes nothing."""
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -36,11 +36,16 @@
         self.heard.pop(box, None)
         self.heard[box] = asyncio.get_running_loop().time()
 
-    def forget(self, box):
+    def rest(self, box):
         """A worker that is gone: its idle connections are not needed any more."""
         self.heard.pop(box, None)
         self.workers[box].connections.close()
 
+    def forget(self, box):
+        """The module knows it no more, so nothing of ours is out there."""
+        self.rest(box)
+        del self.workers[box]
+
     # Connector
     def hold(self, core, life, box):
         """The protocol has no call for it."""
