--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -141,9 +141,6 @@
         self.listed = self.listed or bool(told)
         if told:
             self.core.listed([box for box, _ in told])
-            for box in [box for box in self.engines.workers if box not in self.core.router.workers]:
-                self.engines.forget(box)
-                self.listing.forget(box)
 
     def reload(self, path):
         """The configuration was replaced: discovery may be elsewhere. One that cannot be used changes nothing."""
@@ -164,6 +161,8 @@
             await asyncio.sleep(0.5)
             late, count = max(late, loop.time() - due), count + 1
             self.engines.tidy()
+            if count % 10 == 0:
+                gc.collect()                    # cycles that outlived the first rounds: what is left is small
             if count % 20 == 0:
                 self.log.info("holds", **self.sizes(), late_ms=round(late * 1000))
                 late = 0.0
--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -36,6 +36,8 @@
 class OpenAIEngines(Sender):
     """All workers of all pools, by their boxes. `full`: statuses that prove that a question was not taken."""
 
+    answer_most = ANSWER_MOST
+
     def __init__(self, log, full=(429, 503), most=512, idle=10.0, connect_within=1.0, load="answers"):
         super().__init__(log, most, idle, connect_within)
         self.full, self.load, self.holding = full, load, {}
@@ -142,9 +144,9 @@
             headers["idempotency-key"] = ask.receipt
         return http.request("POST", PATHS[ask.kind], headers, msgspec.json.encode(body))
 
-    async def _answer(self, core, out, wire, limit):
+    async def _answer(self, core, out, wire, limit, parser):
         """(End, whether the connection may be used again)."""
-        parser, streams, report = http.AnswerParser(ANSWER_MOST), None, None
+        streams, report = None, None
         worker = self.workers[out.box]
         while not parser.done:
             if streams is not None and out.first is not None:
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -16,7 +16,6 @@
 from ramppulley.wire import http, platform, sse
 from ramppulley.wire.faults import BadMessage
 
-BODY_MOST = 1 << 20             # of an answer in one piece, and of what one receive brings of a stream
 RELEASE_TRIES = 8               # of letting go, each at another worker
 STOPPED = 4.4                   # seconds without an event: a client may not be left waiting for 5 (PROTOCOL, Figures)
 CLOSED_FIRST = 0.02             # seconds from a read's closing to letting go of what it may have left
@@ -41,11 +40,6 @@
         self.heard.pop(box, None)
         self.workers[box].connections.close()
 
-    def forget(self, box):
-        """The module knows it no more, so nothing of ours is out there."""
-        self.rest(box)
-        del self.workers[box]
-
     # Connector
     def hold(self, core, life, box):
         """The protocol has no call for it."""
@@ -156,9 +150,9 @@
         headers |= {name: given.headers[name] for name in platform.PASSED_ON if name in given.headers}
         return http.request(given.method, given.target, headers, given.body)
 
-    async def _answer(self, core, out, wire, limit):
+    async def _answer(self, core, out, wire, limit, parser):
         """(End, whether the connection may be used again)."""
-        parser, stream, report, first = http.AnswerParser(BODY_MOST), None, None, True
+        stream, report, first = None, None, True
         while not parser.done:
             data = await wire.receive()
             if not data:
--- a/ramppulley/engines/sending.py
+++ b/ramppulley/engines/sending.py
@@ -35,6 +35,8 @@
 class Sender:
     """All workers by their boxes. `budget`: bound of the open connections to all of them (`connections.Budget`)."""
 
+    answer_most = 1 << 20           # bytes of an answer that wait to be taken
+
     def __init__(self, log, most, idle, connect_within, budget=None):
         self.log, self.most, self.idle, self.connect_within, self.budget = log, most, idle, connect_within, budget
         self.workers, self.tasks, self.closing = {}, set(), False
@@ -84,7 +86,7 @@
     def _request(self, out, connections):
         raise NotImplementedError
 
-    async def _answer(self, core, out, wire, limit):
+    async def _answer(self, core, out, wire, limit, parser):
         """(End, whether the connection may be used again)."""
         raise NotImplementedError
 
@@ -102,12 +104,15 @@
     async def _exchange(self, wire, request):
         """One small exchange: its whole answer's parser."""
         parser = http.AnswerParser(1 << 20)
-        await wire.send(request)
-        while not parser.done:
-            data = await wire.receive()
-            if not data:
-                raise BadMessage("the connection ended")
-            parser.feed(data)
+        try:
+            await wire.send(request)
+            while not parser.done:
+                data = await wire.receive()
+                if not data:
+                    raise BadMessage("the connection ended")
+                parser.feed(data)
+        finally:
+            parser.close()
         return parser
 
     def _end_of(self, out, task):
@@ -123,6 +128,7 @@
         """One send from handshake to its End; never raises but for our own faults and cancelling."""
         connections = self.workers[out.box].connections
         loop, wire, whole = asyncio.get_running_loop(), None, False
+        parser = http.AnswerParser(self.answer_most)
 
         def connects():
             out.stage = proof.CONNECT
@@ -135,7 +141,7 @@
                 out.stage = proof.WRITE
                 await wire.send(request)
                 out.stage = proof.WAIT
-                end, whole = await self._answer(core, out, wire, limit)
+                end, whole = await self._answer(core, out, wire, limit, parser)
                 return end
         except Over as over:
             return over.end
@@ -149,6 +155,7 @@
             rested = "" if wire is None or wire.rested is None else f", after {wire.rested * 1000:.0f} ms at rest"
             return End(proof.of(out.stage, proof.LOST), f"{out.stage}: {fault.strerror or fault}{rested}")
         finally:
+            parser.close()
             if wire is not None:
                 (connections.put if whole else connections.drop)(wire)
 
--- a/ramppulley/fleet/platform/listing.py
+++ b/ramppulley/fleet/platform/listing.py
@@ -11,11 +11,6 @@
         self.profile, self.log, self.workers, self.seq = profile, log, Workers(profile), 0
         self.addresses = {}
 
-    def forget(self, box):
-        """One that was replaced long ago; should it come back it is a new one."""
-        self.addresses.pop(self.workers.ids[box], None)
-        self.workers.forget(box)
-
     def told(self, change, now, wall):
         """`now`: the router's clock; `wall`: milliseconds since 1970 at that moment."""
         entries = []
--- a/ramppulley/fleet/platform/watch.py
+++ b/ramppulley/fleet/platform/watch.py
@@ -57,8 +57,8 @@
 
     async def _follow(self):
         wire = await connect(*self.address, WITHIN)
+        parser, rest = http.AnswerParser(LINE_MOST), b""
         try:
-            parser, rest = http.AnswerParser(LINE_MOST), b""
             await wire.send(http.request("GET", f"{platform.LIST}?watch=1&from={self.since()}", {
                 "host": f"{self.address[0]}:{self.address[1]}"}))
             while not parser.done:
@@ -76,6 +76,7 @@
                     self._line(line.strip())
         finally:
             wire.close()
+            parser.close()
 
     def _line(self, line):
         if self.broken:
--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -95,8 +95,7 @@
                     return
                 request = None                  # its body is not kept while the connection rests
         finally:
-            if conn.watch is not None:
-                conn.watch.cancel()
+            conn.close()
 
     async def _refuse(self, wire, status, text):
         body = answers.error(text, "invalid_request_error")
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -106,8 +106,7 @@
                     return
                 request = None                  # its body is not kept while the connection rests
         finally:
-            if conn.watch is not None:
-                conn.watch.cancel()
+            conn.close()
 
     def _ends(self):
         return self.stopping
--- a/ramppulley/fronts/reading.py
+++ b/ramppulley/fronts/reading.py
@@ -8,6 +8,11 @@
     def __init__(self, wire, parser):
         self.wire, self.parser, self.watch, self.served = wire, parser, None, 0
 
+    def close(self):
+        if self.watch is not None:
+            self.watch.cancel()
+        self.parser.close()
+
     def watched(self):
         self.watch = self.watch or asyncio.get_running_loop().create_task(self.wire.receive())
         return self.watch
--- a/ramppulley/profile.py
+++ b/ramppulley/profile.py
@@ -92,9 +92,6 @@
     def __init__(self, profile):
         self.profile, self.boxes, self.ids = profile, {}, {}        # id -> Box, Box -> id
 
-    def forget(self, box):
-        del self.boxes[self.ids.pop(box)]
-
     def told(self, entries, whole):
         """Brings the boxes to what was told; `entries`: (id, state, cell, zone, kind, weight, born). The boxes named, and
         where the list was whole those that are gone by it."""
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -44,13 +44,13 @@
     """One reader, writer or mixed server: samples, our sends there, health, drain and cold budget."""
     __slots__ = (       # more than an instance's dictionary holds at full speed
         "box lawbook routers probes chance number name speaks reads writes state born probing missed out kept"
-        " unread memory shared shared_until reports starts waits lately paces streamed turnover refused heard left"
+        " unread memory shared shared_until reports starts waits lately paces streamed turnover refused heard"
         " told cold_next worked_out worked_at worked_turn doubted doubted_at trial_at strikes plain").split()
 
     def __init__(self, router, box, lawbook, routers, probes, chance):
         super().__init__(router)
         self.box, self.lawbook, self.routers, self.probes, self.chance = box, lawbook, routers, probes, chance
-        self.number = router.ever       # among all that were ever listed
+        self.number = len(router.workers)       # among all that were ever listed
         self.name, self.speaks = box.mark % 9973, min(routers, SPEAKS_FOR)
         self.reads, self.writes = box.role != "write", box.role != "read"
         self.state, self.born, self.probing, self.missed = box.state, box.born, False, 0
@@ -62,7 +62,7 @@
         self.waits, self.lately, self.paces, self.streamed, self.turnover = (
             Samples(span, SAMPLES) for span in (FRESH, FRESH // 3, FRESH, FRESH, FRESH))
         self.refused = deque(maxlen=SAMPLES)
-        self.heard, self.told, self.cold_next, self.left = self.now, 0, 0, self.now   # left: last listed
+        self.heard, self.told, self.cold_next = self.now, 0, 0
         self.worked_out, self.worked_at, self.worked_turn = None, 0, -1
         self.doubted, self.doubted_at, self.trial_at, self.strikes = "", 0, 0, 0
         self.plain = self.state == "ready" and self.born is None        # surely usable
@@ -162,11 +162,6 @@
     def is_plain(self):
         self.plain = self.state == "ready" and self.born is None and not self.doubted
 
-    def is_over(self):
-        """Gone for so long that it would come back warm: replaced. It counts among its like no more (`cold_gap`)."""
-        return self.state == "gone" and not (self.out or self.probing) and (
-            self.now - max(self.told, self.left) > self.lawbook.cold_for)
-
     def on_listed(self, state, born):
         if state != self.state:
             self.router.host.log(f"worker {self.name} {self.state} -> {state}, {len(self.out)} out")
@@ -177,7 +172,7 @@
             self.doubted, self.strikes, self.born = "", 0, born
             if self.cold():     # all routers hear of it at once: each begins at its own time
                 self.cold_next = self.now + int(self.chance() * self.cold_gap())
-        self.state, self.left = state, self.now
+        self.state = state
         self.is_plain()
 
     def on_sent(self, *sends):
@@ -669,7 +664,6 @@
         self.permits, self.lawbook, self.routers = permits, lawbook, routers
         self.workers, self.questions, self.fleet_figures, self.roster = {}, {}, {}, Roster(())
         self.busy, self.fresh = set(), deque()  # workers that may owe a first token; questions without
-        self.ever = 0
         self.desk, self.tick_at = Desk(self, zone, routers, use_cases, accounts, permits.probes), 0
 
     def tell(self, now, *notes):
@@ -736,12 +730,9 @@
         self.clock = now
         for box in boxes:
             if box not in self.workers:
-                self.ever += 1
                 self.workers[box] = Worker(
                     self, box, self.lawbook, self.routers, self.permits.probes, self.chance)
         self.tell(now, *[(self.workers[box], "listed", box.state, box.born) for box in boxes])
-        for box in [box for box, worker in self.workers.items() if worker.is_over()]:
-            del self.workers[box]
         self.roster = Roster(self.workers.values())
 
     def arrived(self, now, slip):
--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -32,6 +32,13 @@
         return self.target.partition("?")[0]
 
 
+class _Parsing:
+    """A parser and its callbacks hold each other: without `close` each waits, some KB, for a rare collection of all."""
+
+    def close(self):
+        self._parser = None
+
+
 class _Head:
     """What both parsers count: the bytes and the fields of one head."""
 
@@ -43,7 +50,7 @@
         self.headers[name] = f"{self.headers[name]}, {value}" if name in self.headers else value
 
 
-class RequestParser:
+class RequestParser(_Parsing):
     """Feeds on what a client sent; whole requests wait in `ready`.
 
     Bounded: a head by HEAD_MOST, a body by `body_most`, waiting requests by what one `feed` brings (the reader of
@@ -122,7 +129,7 @@
         raise fault
 
 
-class AnswerParser:
+class AnswerParser(_Parsing):
     """Feeds on what an engine sent for one request; the body's pieces are taken with `take`.
 
     `status` is 0 until the head is whole; `done` when the body is. An answer that is framed by the end of the
