--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -11,7 +11,7 @@
 
 from ramppulley.fronts.http import answers, bodies
 from ramppulley.fronts.http.gather import Gatherer
-from ramppulley.fronts.reading import Connection
+from ramppulley.fronts.reading import Connection, Stream
 from ramppulley.service import naming as names
 from ramppulley.service.neutral import (CHAT, COMPLETION, EMBEDDINGS, FULFILLED, LEFT, ONE_STAGE, RERANK, Ask)
 from ramppulley.wire import http, sse
@@ -22,13 +22,12 @@
           "/v1/rerank": RERANK, "/rerank": RERANK, "/v2/rerank": RERANK}
 
 
-class Sink:
-    """One question's side of a connection."""
+class Sink(Stream):
+    """A stream of the API, or its pieces gathered where the client wants the answer whole."""
 
     def __init__(self, wire, ask, slow):
-        self.wire, self.ask, self.slow = wire, ask, slow
-        self.done = asyncio.get_running_loop().create_future()
-        self.begun, self.busy = False, False
+        super().__init__(wire, slow)
+        self.ask = ask
         self.gatherer = None if ask.stream or ask.kind in ONE_STAGE else Gatherer(ask.kind)
 
     async def piece(self, data):
@@ -38,20 +37,11 @@
             except (msgspec.DecodeError, AttributeError, TypeError) as fault:
                 raise BadMessage(f"an event that cannot be read: {fault}") from fault
             return
-        out = http.chunk(sse.event(data))
-        if not self.begun:
-            self.begun = True
-            out = http.answer_head(200, {
-                "content-type": "text/event-stream; charset=utf-8", "cache-control": "no-cache",
-                "x-request-id": self.ask.name}) + out
-        self.busy = True
-        async with asyncio.timeout(self.slow):      # a client that reads nothing for so long has left
-            await self.wire.send(out)
-        self.busy = False
-
-    def final(self, ending):
-        if not self.done.done():
-            self.done.set_result(ending)
+        await self.pass_on(sse.event(data))
+
+    def head(self):
+        return http.answer_head(200, {"content-type": "text/event-stream; charset=utf-8", "cache-control": "no-cache",
+                                      "x-request-id": self.ask.name})
 
 
 class HttpFront:
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -7,7 +7,7 @@
 from collections import deque
 
 from ramppulley.fronts.platform import answers
-from ramppulley.fronts.reading import Connection
+from ramppulley.fronts.reading import Connection, Stream
 from ramppulley.service.neutral import CHAT, FULFILLED, LEFT, Ask
 from ramppulley.wire import http, platform
 from ramppulley.wire.faults import BadMessage
@@ -22,27 +22,17 @@
 EVENTS = {"content-type": "text/event-stream", "cache-control": "no-cache"}
 
 
-class Sink:
-    """One question's side of a connection."""
+class Sink(Stream):
+    """A worker's events, unchanged; `keep()`: whether the connection goes on after them."""
+
+    piece = Stream.pass_on
 
     def __init__(self, wire, keep):
-        self.wire, self.keep = wire, keep
-        self.done = asyncio.get_running_loop().create_future()
-        self.begun, self.busy = False, False
-
-    async def piece(self, events):
-        out = http.chunk(events)
-        if not self.begun:
-            self.begun = True
-            out = http.answer_head(200, EVENTS, self.keep()) + out
-        self.busy = True
-        async with asyncio.timeout(SLOW):       # a client that reads nothing for so long has left
-            await self.wire.send(out)
-        self.busy = False
-
-    def final(self, ending):
-        if not self.done.done():
-            self.done.set_result(ending)
+        super().__init__(wire, SLOW)
+        self.keep = keep
+
+    def head(self):
+        return http.answer_head(200, EVENTS, self.keep())
 
 
 class PlatformFront:
--- a/ramppulley/fronts/reading.py
+++ b/ramppulley/fronts/reading.py
@@ -1,6 +1,8 @@
-"""One client's connection as all HTTP fronts read it: whole requests, one by one, and a watch that outlives a question."""
+"""One client's connection as all HTTP fronts have it: whole requests, a watch that outlives a question, a stream."""
 import asyncio
 
+from ramppulley.wire import http
+
 
 class Connection:
     """One client's socket: its parser, and the receive that is under way, which outlives a question."""
@@ -53,3 +55,29 @@
                 await self.wire.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.served += 1
         return parser.ready.popleft()
+
+
+class Stream:
+    """One question's side of a connection: its head with the first piece, pieces as they come, its one ending."""
+
+    def __init__(self, wire, slow):
+        self.wire, self.slow = wire, slow
+        self.done = asyncio.get_running_loop().create_future()
+        self.begun, self.busy = False, False
+
+    def head(self):
+        raise NotImplementedError
+
+    async def pass_on(self, data):
+        out = http.chunk(data)
+        if not self.begun:
+            self.begun = True
+            out = self.head() + out
+        self.busy = True
+        async with asyncio.timeout(self.slow):      # a client that reads nothing for so long has left
+            await self.wire.send(out)
+        self.busy = False
+
+    def final(self, ending):
+        if not self.done.done():
+            self.done.set_result(ending)
