Reread of the platform router: a release owed twice, a probe without room, dead code, sharper stories

Taken out: a set beside a deque, Refused beside BadMessage, an unused branch of the core, an unused word, a parameter, a polling loop, a second time limit. Stories: running out of descriptors, reports in answers, a release owed anew. The story of the release that took the next state passed with both guards out, as both readers were doubted by then; it fails now without them (tried).

--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -101,6 +101,8 @@
         try:
             self.listen, self.discovery = platform.address(told["listen"]), platform.address(told["discovery"])
             self.profile = Profile(told["settings"])
+            if not self.profile.connect_within:
+                raise ValueError("settings.Bounds.ConnectTimeoutS is needed")
             self.seed = int(str(told.get("seed") or 0), 16)
             self.sockets = int((told.get("limits") or {}).get("sockets") or 1024)
             self.known = platform.change_of(told["known"]) if told.get("known") else None
@@ -183,10 +185,8 @@
         self._tidying.cancel()
         await asyncio.gather(self._tidying, return_exceptions=True)
         await self.watch.stop()
-        for _ in range(40):                     # releases that are under way
-            if not self.engines.tasks:
-                break
-            await asyncio.sleep(0.025)
+        if self.engines.tasks:                  # releases that are under way
+            await asyncio.wait(set(self.engines.tasks), timeout=1.0)
         await self.engines.close()
         self.log.info("stopped")
 
--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -7,8 +7,6 @@
 
 MOST, IDLE = 512, 10.0          # open to one worker; seconds that an idle one is kept
 FRESH = 0.02                    # seconds after an answer in which its connection is taken last
-
-
 OURS = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL    # say nothing of the worker
 
 
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -22,7 +22,7 @@
 
 
 class PlatformEngines(Sender):
-    """All workers by their boxes. Times in tenths of a millisecond; `reports`: how reports come, `answers` or `probe`."""
+    """All workers by their boxes. `profile` tells their times and how their reports come."""
 
     def __init__(self, log, profile, budget):
         within = profile.connect_within / TENTHS
@@ -73,7 +73,11 @@
     def _settle(self, life):
         if life in self.owed and not life.out and life not in self.releasing:
             task = self.releasing[life] = self._task(self._release(life.ask.name, self.owed.pop(life)))
-            task.add_done_callback(lambda _: self.releasing.pop(life))
+            task.add_done_callback(lambda _: self._released(life))
+
+    def _released(self, life):
+        del self.releasing[life]
+        self._settle(life)              # what was owed anew meanwhile
 
     async def _before(self, out):
         """A send after a release waits until that was heard: its own state would go with it."""
@@ -120,7 +124,7 @@
             if told is not None:
                 report = self.profile.report(told)
         except NoRoom:
-            outcome = door.DONE         # ours: it says nothing of the worker
+            outcome = door.STALE        # ours: it says nothing of the worker
         except BadMessage:
             outcome = door.FAULT
         except TimeoutError:
--- a/ramppulley/engines/sending.py
+++ b/ramppulley/engines/sending.py
@@ -94,9 +94,9 @@
         """What an answer that cannot be read proves."""
         return proof.of(max(out.stage, proof.WAIT, key=_ORDER.index), proof.GARBLED)
 
-    async def _guarded(self, asking, failed, within=None):
+    async def _guarded(self, asking, failed):
         try:
-            async with asyncio.timeout(within or self.connect_within):
+            async with asyncio.timeout(self.connect_within):
                 await asking
         except (OSError, TimeoutError, BadMessage):
             failed()
--- a/ramppulley/fleet/platform/listing.py
+++ b/ramppulley/fleet/platform/listing.py
@@ -3,6 +3,8 @@
 from ramppulley.wire import platform
 from ramppulley.wire.faults import BadMessage
 
+SAME_START = 1000               # tenths of a millisecond: the two clocks drift, a start told twice is one start
+
 
 class Listing:
     """The list as this router holds it. `told` gives [(box, address)] of all that a change names or ends."""
@@ -21,16 +23,14 @@
             except BadMessage as fault:
                 self.log.warning("entry of the list passed over", fault=str(fault))
                 continue
-            if where is None and name not in self.workers.boxes:
+            box = self.workers.boxes.get(name)
+            if where is None and box is None:
                 continue
             if where is not None:
                 self.addresses[name] = where
-            entries.append((name, state, cell, zone, kind, weight,
-                            (now - max(0, wall - born) * 10 or -1) if born > 0 else None))
+            born = (now - max(0, wall - born) * 10 or -1) if born > 0 else None
+            if box is not None and None not in (born, box.born) and abs(box.born - born) < SAME_START:
+                born = box.born
+            entries.append((name, state, cell, zone, kind, weight, born))
         self.seq = change.seq
-        known = self.workers.boxes
-        for i, entry in enumerate(entries):     # both clocks drift against each other: a start is a new one or the old one
-            box = known.get(entry[0])
-            if box is not None and box.born is not None and entry[6] is not None and abs(box.born - entry[6]) < 1000:
-                entries[i] = (*entry[:6], box.born)
         return [(box, self.addresses[self.workers.ids[box]]) for box in self.workers.told(entries, change.whole)]
--- a/ramppulley/fronts/http/bodies.py
+++ b/ramppulley/fronts/http/bodies.py
@@ -57,8 +57,8 @@
     """A body that cannot be used; `at` names the field."""
 
     def __init__(self, text, at=None, status=400):
-        super().__init__(text)
-        self.at, self.status = at, status
+        super().__init__(text, status)
+        self.at = at
 
 
 def read(kind, raw):
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -4,7 +4,6 @@
 question is out is no such client.
 """
 import asyncio
-from collections import deque
 
 from ramppulley.fronts.platform import answers
 from ramppulley.fronts.reading import Connection, Stream
@@ -41,7 +40,7 @@
     def __init__(self, core, profile, log, known, *, host, port, connections, questions):
         self.core, self.profile, self.log, self.known, self.questions = core, profile, log, known, questions
         self.cases = {name: i for i, name in enumerate(profile.case_names)}
-        self.used, self.last = set(), deque(maxlen=USED)    # names of those that ended last
+        self.used = {}                  # names of those that ended last, the oldest first
         self.open, self.at_rest, self.closing, self.stopping, self.refused = {}, {}, False, False, 0
         self.listener = Listener(self._serve, host, port, connections, make_room=self._make_room)
 
@@ -84,7 +83,7 @@
                 rest = AT_REST if 2 * len(self.listener.tasks) < self.listener.most else REST_LEAST
                 idle, slow = (rest, SLOW) if conn.served else (SILENT, FIRST_SLOW)
                 try:
-                    request = await conn.next(idle, slow, self.at_rest, self._ends)
+                    request = await conn.next(idle, slow, self.at_rest, lambda: self.stopping)
                 except BadMessage as fault:
                     await self._refuse(conn, fault.status, str(fault))
                     return
@@ -98,21 +97,16 @@
         finally:
             conn.close()
 
-    def _ends(self):
-        return self.stopping
-
     async def _refuse(self, conn, status, text):
         """The error, and then a close that does not eat it: what the client still sends is read for a while."""
         self.refused += 1
-        wire, loop = conn.wire, asyncio.get_running_loop()
         try:
             async with asyncio.timeout(LINGER):
-                await wire.send(http.answer(status, answers.TEXT, text.encode() + b"\n", keep_alive=False))
-                wire.end_writing()
-                until, read = loop.time() + LINGER, 0
-                while read < LINGER_MOST and loop.time() < until:
-                    watch = conn.watched()
-                    await asyncio.wait({watch})
+                await conn.wire.send(http.answer(status, answers.TEXT, text.encode() + b"\n", keep_alive=False))
+                conn.wire.end_writing()
+                read = 0
+                while read < LINGER_MOST:
+                    await asyncio.wait({conn.watched()})
                     data = conn.taken()
                     if not data:
                         return
@@ -133,22 +127,22 @@
                 raise BadMessage("one request at a time")
             ask = self._ask(request)
         except BadMessage as fault:
-            await self._refuse(conn, getattr(fault, "status", 400), str(fault))
+            await self._refuse(conn, fault.status, str(fault))
             return False
         return await self._question(conn, ask, request.keep_alive)
 
     def _ask(self, request):
         """One neutral question; raises BadMessage."""
         if request.method != "POST" or not request.target.startswith("/") or request.target.startswith("/-/"):
-            raise Refused(f"no {request.method} {request.path[:80]} here", 404)
+            raise BadMessage(f"no {request.method} {request.path[:80]} here", 404)
         told = platform.asked(request.headers)
         case = self.cases.get(told.case)
         if case is None:
-            raise Refused(f"{platform.CASE}: no such class {told.case[:40]!r}", 400)
+            raise BadMessage(f"{platform.CASE}: no such class {told.case[:40]!r}")
         if told.name in self.open or told.name in self.used:
-            raise Refused(f"{platform.ID}: this one was used already", 409)
+            raise BadMessage(f"{platform.ID}: this one was used already", 409)
         if len(self.open) >= self.questions:
-            raise Refused("the router holds as many requests as it may", 503)
+            raise BadMessage("the router holds as many requests as it may", 503)
         profile = self.profile
         hint = None if told.hint_us is None else told.hint_us // 100
         return Ask(
@@ -188,16 +182,7 @@
             return keep
         finally:
             del self.open[ask.name]
-            if len(self.last) == USED:
-                self.used.discard(self.last[0])
-            self.last.append(ask.name)
-            self.used.add(ask.name)
+            self.used[ask.name] = None
+            if len(self.used) > USED:
+                del self.used[next(iter(self.used))]
             self.core.left(life)                # no effect after an ending
-
-
-class Refused(BadMessage):
-    """A request that can be read and not be taken."""
-
-    def __init__(self, text, status):
-        super().__init__(text)
-        self.status = status
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -11,7 +11,7 @@
 from random import Random
 from zlib import crc32
 
-from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, TOO_SLOW
+from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, STALE, TOO_SLOW
 from ramppulley.parts import Actor, Figures, Kept, Roster, Samples, Send, busiest, lot, mean, middle
 
 MS = 10                         # tenths of a millisecond
@@ -240,7 +240,7 @@
         self.take(report)
         if outcome in (DONE, NO_ROOM, FAULT):       # also a refusal is an answer: the process lives
             self.trust()
-        else:       # alone it proves nothing: connections may be slow to open; but others come first
+        elif outcome != STALE:      # alone it proves nothing: connections may be slow to open; but others come first
             self.missed += 1
             if self.doubted or (self.missed > 1 and self.quiet() > SILENT_LEAST):
                 self.doubt("probe unanswered")
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -12,8 +12,7 @@
 class Core:
     """One pool's questions and its module. Implements `door.Host`.
 
-    `make_router(host, now)` gives the module, or a baseline with the same events. `names` tells a box's name, for the
-    record in `book`, if there is one.
+    `make_router(host, now)` gives the module, or a baseline with the same events. `names` tells a box's name.
     """
 
     def __init__(self, pool, make_router, connector, clock, use_cases, accounts, book, log, estimator, names):
@@ -194,8 +193,6 @@
             return
         del self.lives[life.slip]
         life.ask.body = None            # the largest part; what else points here may stand till the next collection
-        if self.book is None:
-            return
         ask, ending, used = life.ask, life.ending, life.usage
         case = life.slip.use_case
         self.book.add(QuestionRecord(
--- a/ramppulley/standin/platform.py
+++ b/ramppulley/standin/platform.py
@@ -26,6 +26,7 @@
 
     def __init__(self, name, role, yard, token_s=0.0):
         self.name, self.role, self.yard, self.token_s = name, role, yard, token_s
+        self.takes = 0.0                # seconds before it begins a POST or a DELETE
         self.scripts, self.log, self.limits, self.connections = deque(), [], [], 0
 
     def start(self, port=0):
@@ -54,7 +55,10 @@
             name = request.headers.get(platform.ID, "")
             self.log.append((request.method, request.target, name, request.body))
             self.limits.append(request.headers.get(platform.LIMIT))
-            if request.method == "POST" and self.scripts:
+            scripted = request.method == "POST" and self.scripts
+            if request.method != "GET" and not scripted:
+                await asyncio.sleep(self.takes)
+            if scripted:
                 script = self.scripts.popleft()
                 if isinstance(script, bytes):
                     if self.role == "write" and HEAD in script:     # an answer begins once the state has been fetched
--- a/ramppulley/wire/faults.py
+++ b/ramppulley/wire/faults.py
@@ -2,13 +2,12 @@
 
 
 class BadMessage(Exception):
-    """Bytes that do not follow the protocol; answered with 400 towards a client, proof of a broken engine else."""
-    status = 400
+    """Bytes that do not follow the protocol; answered with `status` towards a client, proof of a broken engine else."""
+
+    def __init__(self, text, status=400):
+        super().__init__(text)
+        self.status = status
 
 
 class TooLarge(BadMessage):
     """A head, body or event over its stated bound."""
-
-    def __init__(self, text, status):
-        super().__init__(text)
-        self.status = status
--- a/ramppulley/wire/platform.py
+++ b/ramppulley/wire/platform.py
@@ -10,14 +10,15 @@
 
 from ramppulley.wire.faults import BadMessage
 
-READY, HEALTHY, LOAD, LEASES, LIST = "/-/ready", "/-/healthy", "/-/load", "/kv/leases/", "/api/targets"
+READY, LOAD, LEASES, LIST = "/-/ready", "/-/load", "/kv/leases/", "/api/targets"
 ID, CASE, KEY, LIMIT, EXTRA = "req-id", "req-kind", "req-key", "req-deadline-ms", "req-extra"
 RETRY, HINT, OWNER = "req-retry", "req-cost", "req-owner"
 REPORT, NEVER = "srv-load", "srv-declined"
 PASSED_ON = CASE, KEY, EXTRA, RETRY, HINT, OWNER, "content-type"
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}")
-DIGITS = re.compile(r"[0-9]{1,12}")
+DIGITS = re.compile(r"[0-9]{1,9}")         # more is no figure of this platform
+LENGTHS = {"prompt_len": "prompt", "prefix_len": "prefix_tokens", "max_out": "most_out"}
 TEXT_MOST = 256
 
 
@@ -62,20 +63,12 @@
     told = Asked(name, case, limit, headers.get(KEY, "")[:TEXT_MOST], headers.get(OWNER, "")[:TEXT_MOST])
     if HINT in headers:
         told.hint_us = number(headers[HINT], HINT)
-    for part in headers.get(EXTRA, "").split(",") if headers.get(EXTRA) else ():
+    for part in headers.get(EXTRA, "").split(","):
         word, _, value = part.strip().partition("=")
         if word == "prefix":
             told.prefix = "" if value.strip("0-") == "" else value[:TEXT_MOST]
-        elif word in ("prompt_len", "prefix_len", "max_out"):
-            figure = number(value, f"{EXTRA}: {word}")
-            if figure > 100_000_000:
-                raise BadMessage(f"{EXTRA}: {word} is out of all bounds")
-            if word == "prompt_len":
-                told.prompt = figure
-            elif word == "prefix_len":
-                told.prefix_tokens = figure
-            else:
-                told.most_out = figure
+        elif word in LENGTHS:
+            setattr(told, LENGTHS[word], number(value, f"{EXTRA}: {word}"))
     return told
 
 
@@ -136,18 +129,18 @@
     return host.strip("[]"), int(port)
 
 
-def entry(told, kinds, zones, cell_of=int):
+def entry(told, kinds, zones):
     """(id, state, cell, zone, kind, weight, born in ms since 1970, address) of one entry; raises BadMessage."""
     try:
         state, name = STATES[told["health"]], told["host"]
         if not isinstance(name, str) or not name:
             raise BadMessage("an entry without a host")
         zone = zones.index(told["site"]) if told.get("site") in zones else len(zones)
-        kind = kinds.index(told["class"]) if told.get("class") in kinds else None
-        if kind is None:
+        kind = kinds.index(told["class"]) if told.get("class") in kinds else 0
+        if told.get("class") not in kinds and state != "gone":     # to end one, its name is enough
             raise BadMessage(f"{name}: a class that the settings do not name: {told.get('class')!r}")
         where = address(told["dial"]) if told.get("dial") or state != "gone" else None
-        return (name, state, cell_of(told.get("block") or 0), zone, kind, float(told.get("share") or 1.0),
+        return (name, state, int(told.get("block") or 0), zone, kind, float(told.get("share") or 1.0),
                 int(told.get("born_ms") or 0), where)
     except (KeyError, TypeError, ValueError) as fault:
         raise BadMessage(f"an entry that cannot be read: {fault!r}") from fault
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -34,8 +34,8 @@
 
 
 class World:
-    def __init__(self, readers=1, writers=1, sockets=256, token_s=0.0, known=True, make=Router):
-        self.yard, self.known, self.sockets, self.make = set(), known, sockets, make
+    def __init__(self, readers=1, writers=1, sockets=256, token_s=0.0, known=True, make=Router, settings=SETTINGS):
+        self.yard, self.known, self.sockets, self.make, self.settings = set(), known, sockets, make, settings
         self.readers = [PlatformWorker(f"s-r{i}", "read", self.yard) for i in range(readers)]
         self.writers = [PlatformWorker(f"s-w{i}", "write", self.yard, token_s) for i in range(writers)]
         self.list, self.lines = PlatformList(), Quiet()
@@ -63,7 +63,7 @@
         return {"name": "n0", "listen": f"127.0.0.1:{free_port()}",
                 "discovery": f"127.0.0.1:{self.list.listener.port}", "seed": "8c1f30d27a5be964",
                 "limits": {"cores": 1.0, "memory_mb": 128, "sockets": self.sockets},
-                "known": self.list.whole() if self.known else None, "settings": SETTINGS}
+                "known": self.list.whole() if self.known else None, "settings": self.settings}
 
     @staticmethod
     def entry(worker, health="Ready", born=0, port=None):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,12 +3,14 @@
 import io
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
 import tempfile
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from platform_rig import BODY, SETTINGS, Quiet, World, answer, free_port, question
@@ -21,6 +23,7 @@
 from ramppulley.fleet.platform.listing import Listing
 from ramppulley.profile import Profile, Workers
 from ramppulley.rules import Router
+from ramppulley.service.neutral import Life
 from ramppulley.standin.platform import EVENTS, GOOD, HEAD, PlatformList
 from ramppulley.wire import http, platform
 from ramppulley.wire.sockets import Listener
@@ -102,7 +105,7 @@
 
     def __init__(self, host, **given):
         super().__init__(host, **given)
-        self.told = []
+        self.told, self.reports = [], []
         Heard.made.append((self, {k: v for k, v in given.items() if k not in ("seed", "now")}))
 
     def arrived(self, now, slip):
@@ -115,6 +118,7 @@
 
     def outcome(self, now, slip, send, outcome, final, kept, report):
         self.told.append((outcome, send.worker.box.role, final, kept))
+        self.reports.append(report)
         super().outcome(now, slip, send, outcome, final, kept, report)
 
     def probed(self, now, box, outcome, report):
@@ -345,8 +349,20 @@
 @story
 async def test_a_release_does_not_take_the_state_of_the_next_read_along():
     async with World(readers=2) as world:
+        for worker in world.workers:
+            worker.takes = 0.03                 # what is asked of it overlaps with what comes next
+        asked = []
+
+        async def read(wire):                   # whichever is asked first breaks, the next reads for a while
+            asked.append(wire)
+            if len(asked) == 1:
+                wire.reset()
+                return
+            await asyncio.sleep(0.03)
+            world.yard.add("q-1")
+            await wire.send(http.answer(202, {}, b"{}"))
         for reader in world.readers:
-            reader.scripts.append(reset)        # whichever is asked first
+            reader.scripts.append(read)
         status, _, body, _ = await world.ask("q-1")
         assert (status, body) == (200, WHOLE)
         assert len(world.writers[0].of("POST")) == 1        # no 410 before
@@ -382,8 +398,57 @@
         await world.settled()
 
 
+@story
+async def test_what_is_owed_while_a_release_is_under_way_is_let_go_after_it():
+    async with World() as world:
+        engines, life = world.node.engines, Life(SimpleNamespace(name="q-1"), None, None, 0)
+        for worker in world.workers:
+            worker.takes = 0.05
+        world.yard.add("q-1")
+        engines.let_go(life, None, "q-1")
+        await world.until(lambda: engines.releasing)
+        engines.let_go(life, None, "q-1")
+        await world.settled()
+        assert sum(len(worker.of("DELETE")) for worker in world.workers) == 2
+
+
+@story
+async def test_where_answers_hold_reports_they_are_heard_and_noise_is_none():
+    settings = SETTINGS | {"Report": SETTINGS["Report"] | {"How": "answers"},
+                           "Bounds": SETTINGS["Bounds"] | {"Probing": False}}
+    Heard.made.clear()
+    async with World(make=Heard, settings=settings) as world:
+        told = b': Srv-Load: {"lat_ms":9,"x0":0.5,"x1":2}\n\n'
+        report = '{"lat_ms":12,"x0":0.25,"x1":1.5}'
+        world.readers[0].scripts.extend(http.answer(202, {"Srv-Load": text}, b"{}") for text in (report, "noise"))
+        world.writers[0].scripts.extend([GOOD[:-len(http.LAST_CHUNK)] + http.chunk(told) + http.LAST_CHUNK, GOOD])
+        assert (await world.ask("q-1"))[0] == (await world.ask("q-2"))[0] == 200
+        router = Heard.made[0][0]
+        assert router.reports == [door.Report(None, 0.25, 1500.0, 120), door.Report(None, 0.5, 2000.0, 90), None, None]
+
+
 # Connections to workers
 
+@story
+async def test_running_out_of_descriptors_blames_no_worker():
+    Heard.made.clear()
+    async with World(make=Heard) as world:
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wire = await world.connect()
+        await world.until(lambda: world.node.front.listener.tasks)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (3, limits[1]))
+        try:
+            await wire.send(question("q-1", req_deadline_ms="300"))
+            status = (await answer(wire))[0]
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        assert status == 503 and "doubted" not in world.lines.text
+        assert {t[0] for t in Heard.made[0][0].told if t[0] not in ("arrived", "probed")} <= {door.STALE}
+        assert (await world.ask("q-2", wire))[0] == 200
+        wire.close()
+
+
+
 @story
 async def test_at_the_bound_of_all_connections_the_one_idle_longest_makes_room():
     async def hold(wire):
@@ -421,6 +486,9 @@
     assert told(False, entry | {"class": "unknown"}, {"host": 3}, entry | {"host": "b", "dial": "nowhere"}) == []
     assert [b.state for b, _ in told(True)] == ["gone"]
     assert told(False, entry)[0][0].state == "ready" and told(False, entry | {"health": "Gone"})[0][0].state == "gone"
+    assert told(False, entry)[0][0].state == "ready"
+    assert told(False, {"host": "a", "health": "Gone"}, {"host": "z", "health": "Gone"}) == [(box, ("10.0.0.1", 80))]
+    assert box.state == "gone"
 
 
 def test_a_whole_list_ends_who_is_not_on_it_and_a_change_does_not():
