--- a/ramppulley/door.py
+++ b/ramppulley/door.py
@@ -76,6 +76,7 @@
     likely_out: int | None = None
     account: int = 0
     benefit_share: float = 1.0  # what the over-share part of an account's questions is worth
+    whole: bool = False         # its client named its patience and sees nothing before the answer's end
 
 
 @dataclass(frozen=True)
--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -164,6 +164,7 @@
             prompt=max(1, prompt), weighed=0 if counted else weighed, most_out=most_out,
             likely_out=1 if short else None,
             stream=bool(getattr(checked, "stream", False)),
+            whole=naming.patience_header in metadata and not getattr(checked, "stream", False),
             with_usage=not getattr(checked, "stream", False) or bool(
                 getattr(checked, "stream_options", None) and checked.stream_options.include_usage),
             account=account, session=names.session_of(naming, metadata, kind, body), prefix=prefix,
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -366,7 +366,7 @@
             self.drop(send)
 
     def drop(self, send):
-        if self.permits.withdraw and not send.withdrawn and send.first is None:
+        if self.permits.withdraw and not send.withdrawn and (send.first is None or self.slip.whole):
             send.withdrawn = True
             self.router.host.withdraw(self.slip, send)
 
@@ -412,7 +412,7 @@
 
     def on_time_up(self):
         """The one ending by our own decision: turned back where that is harmless, else scrapped."""
-        if self.closed or (self.streams and self.out):
+        if self.closed or (self.streams and self.out and not self.slip.whole):
             return
         case, maybe = self.slip.use_case, self.maybe_ran or any(not s.reads for s in self.out)
         if case.effect == "pure" or not maybe or (case.effect == "receipted" and case.group == "all"):
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -28,7 +28,8 @@
         slip = door.Slip(
             use_case, prompt=ask.prompt, most_out=ask.most_out, patience=ask.patience, session=ask.session,
             prefix=ask.prefix, prefix_tokens=ask.prefix_tokens, likely_out=ask.likely_out,
-            account=self.accounts.get(ask.account, len(self.accounts)), benefit_share=ask.benefit_share)
+            account=self.accounts.get(ask.account, len(self.accounts)), benefit_share=ask.benefit_share,
+            whole=ask.whole)
         life = self.lives[slip] = Life(ask, slip, sink, now)
         self.taken += 1
         self._tell(life, self.router.arrived, slip)
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -35,6 +35,7 @@
     receipt: str = ""               # Idempotency-Key, passed on to the engines
     likely_out: int | None = None   # tokens, where there is a hint
     benefit_share: float = 1.0      # as in door.Slip
+    whole: bool = False             # as in door.Slip
 
 
 @dataclass(frozen=True)
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -31,8 +31,8 @@
         self.timers.append((self.now + wait, next(self.count), note))
 
     # What a story says
-    def ask(self, prompt=1000, patience=60_000, session="a", prefix="", prefix_tokens=0, case=None):
-        slip = door.Slip(case or self.case, prompt, 300, patience, session, prefix, prefix_tokens)
+    def ask(self, prompt=1000, patience=60_000, session="a", prefix="", prefix_tokens=0, case=None, **more):
+        slip = door.Slip(case or self.case, prompt, 300, patience, session, prefix, prefix_tokens, **more)
         self.router.arrived(self.now, slip)
         return slip
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -29,6 +29,15 @@
         assert told["usage"]["completion_tokens"] == 4 and told["choices"][0]["finish_reason"] == "stop"
 
 
+@story
+async def test_who_wants_the_whole_answer_within_a_time_it_named_has_a_final_answer_by_then():
+    async with Rig() as rig:
+        reply = await rig.chat(most=500, stream=False, headers={"x-request-timeout": "0.3"}, patience=0.3)
+        assert reply.status == 503 and reply.headers["x-should-retry"] == "true" and not reply.fault
+        await rig.settled()
+        assert (await rig.chat(most=500, headers={"x-request-timeout": "0.3"})).done     # a stream's time ends as it begins
+
+
 @story
 async def test_usage_comes_only_where_it_was_asked_for():
     async with Rig() as rig:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -209,6 +209,20 @@
     assert len(host.told("turn_back", slip)) == 1
 
 
+@pytest.mark.parametrize("effect,ending", [("pure", "turn_back"), ("effectful", "scrap")])
+def test_a_client_that_waits_for_the_whole_answer_is_answered_in_its_time_though_the_answer_has_begun(effect, ending):
+    host = FakeHost(fleet(), effect=effect)
+    slip = host.ask(patience=2 * S, whole=True)
+    read(host, slip)
+    host.first(slip)
+    host.wait(2 * S - 81 * MS)
+    assert not host.told(ending, slip)
+    host.wait(2 * MS)
+    assert host.told(ending, slip) and host.told("withdraw", slip)
+    host.ends(slip, door.UNDONE, final=True)
+    assert slip not in host.router.questions and not host.told("send", slip)[2:]
+
+
 def test_a_silent_reader_is_noticed_by_its_peers_and_comes_back_by_one_trial():
     host = FakeHost([box(1, "read"), box(2, "read"), box(3, "read"), box(4, "write")])
     stuck = host.ask(prompt=500)
