Where nobody listed can serve: answered at once; settings without a meaning end the start

Seen, by a probe on the module (fake host, patience 6 s): with an empty list, all draining, only readers or only writers the answer came after 0.40 s; when the last workers went during a read, and for a receipted question whose group was gone, after 5.63 s of 6; for one whose window was over, 0.53 s later. Sitting like that keeps the client from asking again.

At fault: Desk.on_arrived, on_further, on_serve (the line was the only place to go) and profile.Profile, drill.wire.report, sampled, membership. Mend: Desk.nobody, asked on arrival, on a failed send, on a new list and at each look at the lines; told.py reads settings field by field; report figures are bounded and taken by the meaning that the settings give x0 and x1; SUBSCRIBE where the list is on request.

--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -23,6 +23,7 @@
 from ramppulley.service.clock import TENTHS, LoopClock
 from ramppulley.service.core import Core
 from ramppulley.service.neutral import FULFILLED, LEFT
+from ramppulley.told import Unfit
 from ramppulley.wire import platform
 from ramppulley.wire.faults import BadMessage
 
@@ -102,11 +103,13 @@
             self.listen, self.discovery = platform.address(told["listen"]), platform.address(told["discovery"])
             self.profile = Profile(told["settings"])
             if not self.profile.connect_within:
-                raise ValueError("settings.Bounds.ConnectTimeoutS is needed")
+                raise Unfit("settings.Bounds.ConnectTimeoutS: a number over 0 is needed")
             self.seed = int(str(told.get("seed") or 0), 16)
             self.sockets = int((told.get("limits") or {}).get("sockets") or 1024)
             self.known = platform.change_of(told["known"]) if told.get("known") else None
-        except (KeyError, TypeError, ValueError, AttributeError, BadMessage) as fault:
+        except (Unfit, BadMessage) as fault:
+            raise Unusable(f"configuration: {fault}") from fault
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
             raise Unusable(f"configuration: {type(fault).__name__} {fault}") from fault
         self.log, self.make, self.listed = log, make, False
 
--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -7,10 +7,12 @@
 from ramppulley import door
 from ramppulley.profile import Profile, Workers, tenths
 from ramppulley.rules import Router
+from ramppulley.told import Unfit
 
 OUTCOMES = {"pass": door.DONE, "fault": door.FAULT, "no_room": door.NO_ROOM, "too_slow": door.TOO_SLOW,
             "no_route": door.NO_ROUTE, "cut": door.CUT, "undone": door.UNDONE, "stale_send": door.STALE,
             "read": door.READ}
+ASK_AGAIN, ASK_MOST = 500, 10_000       # tenths of a millisecond to asking for the list again, doubling up to
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 
 
@@ -28,6 +30,17 @@
     return f"{sign}{abs(ticks) // 10000}.{abs(ticks) % 10000:04d}"
 
 
+def figure(text):
+    """
+    >>> figure("1.5"), figure("-"), figure("noise")
+    (1.5, None, None)
+    """
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
 def whole(text):
     return 0 if text == "-" else int(float(text))
 
@@ -44,6 +57,13 @@
         self.workers = Workers(self.profile)
         self.boxes, self.ids = self.workers.boxes, self.workers.ids     # address -> Box, Box -> address
         self.router = self.profile.router(make, self, seed, now)
+        self.asking, self.pause = self.profile.discovery == "on_request", ASK_AGAIN
+        if self.asking:
+            self.subscribe()
+
+    def subscribe(self):
+        """Where the list is told on request; a call that fails, or a subscription that broke, is repeated."""
+        self.act("SUBSCRIBE", "1")
 
     # What the module asks for (door.Host)
     def act(self, *parts):
@@ -90,10 +110,23 @@
     def membership(self, now, fields, entries):
         kind = fields[1]
         if kind == "error":
+            if self.asking:
+                self.remind(self.pause, self.subscribe)
+                self.pause = min(ASK_MOST, 2 * self.pause)
             return
+        self.pause = ASK_AGAIN if kind != "disk" else self.pause
         self.router.listed(now, self.workers.told([
             (address, STATES[state], int(cell), int(zone), int(flavor), 1.0 if weight == "-" else float(weight),
-             tenths(born) or None) for state, cell, address, weight, zone, flavor, born in entries], kind != "diff"))
+             tenths(born) or None) for state, cell, address, weight, zone, flavor, born in self.known(entries)],
+            kind != "diff"))
+
+    def known(self, entries):
+        """Without those of a kind that the settings do not name."""
+        for entry in entries:
+            if 0 <= int(entry[5]) < len(self.profile.roles):
+                yield entry
+            else:
+                self.log(f"entry of the list passed over: kind {entry[5]}")
 
     def work_item(self, now, fields):
         (op, most, n_prefix, dialogue, band, cost, prompt, group, prefix, patience, bits) = fields
@@ -135,6 +168,8 @@
 
     def sampled(self, now, fields):
         code, address, lag, health = fields
+        if address not in self.boxes:
+            return              # never listed: nobody asked it
         self.router.probed(now, self.boxes[address], OUTCOMES[code], self.report(health))
 
     def gone(self, now, fields):
@@ -146,7 +181,9 @@
 
     def reminder(self, now, fields):
         note = self.notes.pop(int(fields[0]), None)
-        if note is not None:
+        if note == self.subscribe:
+            note()
+        elif note is not None:
             self.router.reminded(now, note)
 
     def tidy(self):
@@ -163,7 +200,7 @@
         if text in ("-", ""):
             return None
         values = text.split(",")
-        return self.profile.report({f: float(v) for f, v in zip(self.profile.fields, values) if v not in ("", "-")})
+        return self.profile.report({f: figure(v) for f, v in zip(self.profile.fields, values)})
 
 
 EVENTS = {"WORK_ITEM": ("work_item", 11), "HEAD_RECEIVED": ("head_received", 4),
@@ -181,7 +218,10 @@
     name, _, rest = line.partition(" ")
     if name == "POWER_ON":
         inst, seed, profile = rest.split(" ", 2)
-        routers[inst] = Instance(inst, int(seed), json.loads(profile), now, out, make)
+        try:
+            routers[inst] = Instance(inst, int(seed), json.loads(profile), now, out, make)
+        except Unfit as fault:
+            raise Malformed(str(fault)) from fault
         return
     fields = rest.split(" ")
     inst, fields = fields[0], fields[1:]
--- a/ramppulley/profile.py
+++ b/ramppulley/profile.py
@@ -3,12 +3,21 @@
 Both hosts read them here: the bench adapter (`drill/`) and the router on sockets (`daemon/platform.py`). What either tells
 the module of a setting, a worker, a question or a report is therefore the same.
 """
-import math
 import zlib
 
 from ramppulley import door
+from ramppulley.told import Told, Unfit, each, flag, number, objects, text, word
 
+# The platform's words that have a meaning here; all others are refused at the start.
 EFFECTS = {"free": "pure", "guarded": "receipted", "single_shot": "effectful"}
+GROUPS, ROLES = ("all", "zone", "cell"), ("read", "write", "both")
+SHAPES, LISTS, WAYS = ("twostage",), ("pushed", "on_request"), ("answers", "probe", "none")
+#: What the settings say that a report's figure means: the report's own word, and its unit there.
+MEANINGS = {"share of memory that is held": ("memory_share", 1),
+            "thousands of prompt tokens waiting to be read or fetched": ("tokens_waiting", 1000)}
+SHARE, WAITING = MEANINGS.values()
+FIELDS = {"rif": None, "q": None, "busy": None, "lat_ms": None, "rate": None, "fail_rate": None, "x0": SHARE, "x1": WAITING}
+FIGURE_MOST = 1e9               # no worker has more of anything: a figure above it is noise
 
 
 def micros(text):
@@ -31,40 +40,58 @@
 
 
 class Profile:
-    """One settings object. Raises KeyError, ValueError or TypeError where it lacks what the module needs."""
-
-    def __init__(self, told):
-        law, bounds, special, reports = told["Rules"], told["Bounds"], told["Specifics"], told["Report"]
-        self.roles, self.kinds = special["RoleByKind"], told.get("Kinds") or []
-        self.memory, self.zones = special.get("MemoryTokens") or [], told.get("Azs") or []
-        per_k, pace = special.get("AimUsPer1000PromptTokens") or [], special.get("TokenAimS") or []
-        lanes = told["Lanes"]
-        self.case_names = [lane.get("Name", "") for lane in lanes]
+    """One settings object. Raises Unfit where it lacks what the module needs or says what has no meaning here.
+
+    A key that the platform's pages do not name is passed over; an optional one that is absent means what they say.
+    """
+
+    def __init__(self, settings):
+        told = Told(settings)
+        told.at("DomainType", word(SHAPES), SHAPES[0])
+        self.discovery = told.at("Discovery", word(LISTS), LISTS[0])
+        self.kinds, self.zones = told.at("Kinds", each(text), []), told.at("Azs", each(text), [])
+        self.roles = told.at("Specifics.RoleByKind", each(word(ROLES), self.kinds and ("Kinds", len(self.kinds))))
+        if not self.roles:
+            raise Unfit("settings.Specifics.RoleByKind: at least one kind of worker is needed")
+        self.memory = told.at("Specifics.MemoryTokens", each(number(), ("RoleByKind", len(self.roles))), [])
+        lanes = told.at("Lanes", objects)
+        if not lanes:
+            raise Unfit("settings.Lanes: at least one class is needed")
+        per_k, pace = (told.at(f"Specifics.{field}", each(number(), ("Lanes", len(lanes))), []) or [0] * len(lanes)
+                       for field in ("AimUsPer1000PromptTokens", "TokenAimS"))
+        self.case_names = [lane.at("Name", text, "") for lane in lanes]
         self.use_cases = [door.UseCase(
-            promised=tenths(lane["AimS"]), outer_limit=tenths(lane["GiveUpS"]), benefit=float(lane["Credit"]),
-            promised_per_k=int(per_k[i]) // 100 if i < len(per_k) else 0,
-            pace=tenths(pace[i]) if i < len(pace) else 0, effect=EFFECTS[lane["Effect"]],
-            group=lane.get("KeyScope") or "all", window=tenths(lane.get("WindowS", 0)))
-            for i, lane in enumerate(lanes)]
-        self.fields, self.how = reports.get("Fields") or [], reports["How"]
-        self.over_share = float(told.get("OverShareWorth", 1.0))
-        self.routers, self.zone = int(told["NInstances"]), int(told["MyZone"])
-        tenants = told.get("Tenants") or []
-        self.account_names = [tenant.get("Name", "") for tenant in tenants]
-        self.accounts = [door.Account(float(tenant["QuotaPerS"])) for tenant in tenants]
+            promised=tenths(lane.at("AimS", number(0.001))), outer_limit=tenths(lane.at("GiveUpS", number(0.001))),
+            benefit=float(lane.at("Credit", number(over=True))), promised_per_k=int(per_k[i]) // 100,
+            pace=tenths(pace[i]), effect=lane.at("Effect", word(EFFECTS)), group=lane.at("KeyScope", word(GROUPS), "all"),
+            window=tenths(lane.at("WindowS", number(), 0))) for i, lane in enumerate(lanes)]
+        self.how = told.at("Report.How", word(WAYS))
+        self.fields = told.at("Report.Fields", each(word(tuple(FIELDS))), [])
+        self.means = {field: told.at(f"Specifics.Report{field.upper()}", word(MEANINGS), usual)
+                      for field, usual in FIELDS.items() if usual and field in self.fields}
+        self.over_share = float(told.at("OverShareWorth", number(), 1.0))
+        self.routers = int(told.at("NInstances", number(1)))
+        self.zone = int(told.at("MyZone", number(0, max(0, len(self.zones) - 1) if self.zones else 1e9)))
+        tenants = told.at("Tenants", objects, [])
+        self.account_names = [tenant.at("Name", text, "") for tenant in tenants]
+        self.accounts = [door.Account(float(tenant.at("QuotaPerS", number()))) for tenant in tenants]
+        wait = told.at("Bounds.MaxRetryAfterS", number(), 0) if told.at("Bounds.RetryAfter", flag, False) else 0
         self.permits = door.Permits(
-            sends=int(bounds["SendCap"]), concurrent=bool(bounds.get("MayDuplicate")),
-            probes=bool(bounds.get("Probing")) and self.how != "none",
-            withdraw=bool(bounds.get("Cancel")), places=bool(special.get("MayReserve")),
-            longest_wait=tenths(bounds.get("MaxRetryAfterS", 0)) if bounds.get("RetryAfter") else 0)
+            sends=int(told.at("Bounds.SendCap", number(1))), concurrent=told.at("Bounds.MayDuplicate", flag, False),
+            probes=told.at("Bounds.Probing", flag, False) and self.how != "none",
+            withdraw=told.at("Bounds.Cancel", flag, False), places=told.at("Specifics.MayReserve", flag, False),
+            longest_wait=tenths(wait))
         self.lawbook = door.Lawbook(
-            drain_grace=tenths(law["DrainGraceS"]), cold_from=float(law["ColdFrom"]),
-            cold_for=tenths(law["ColdS"], up=True), cold_multiple=float(law["FallMultiple"]),
-            cold_window=tenths(law["FallS"]), let_go_within=tenths(special["ReleaseS"]),
-            step=max(1, tenths(told["ResolutionS"], up=True)))
-        self.connect_within = tenths(bounds.get("ConnectTimeoutS", 0))
-        self.idle = tenths(bounds.get("ConnIdleS", 0))
-        self.questions_most = int(bounds.get("MaxOpen", 0))
+            drain_grace=tenths(told.at("Rules.DrainGraceS", number())),
+            cold_from=float(told.at("Rules.ColdFrom", number(over=True))),
+            cold_for=tenths(told.at("Rules.ColdS", number()), up=True),
+            cold_multiple=float(told.at("Rules.FallMultiple", number(over=True))),
+            cold_window=tenths(told.at("Rules.FallS", number())),
+            let_go_within=tenths(told.at("Specifics.ReleaseS", number())),
+            step=max(1, tenths(told.at("ResolutionS", number()), up=True)))
+        self.connect_within = tenths(told.at("Bounds.ConnectTimeoutS", number(), 0))
+        self.idle = tenths(told.at("Bounds.ConnIdleS", number(), 0))
+        self.questions_most = int(told.at("Bounds.MaxOpen", number(), 0))
 
     def router(self, make, host, seed, now):
         """The module's instance for this profile."""
@@ -76,14 +103,12 @@
         return None if cost is None or not use_case.pace else max(1, cost // use_case.pace)
 
     def report(self, values):
-        """A load report by the settings' own names of its fields; what is no number is not told."""
-        known = {name: float(v) for name in self.fields
-                 if isinstance(v := values.get(name), (int, float)) and math.isfinite(v)}
-        waiting, latency = known.get("x1"), known.get("lat_ms")
-        return door.Report(
-            held=known.get("rif"), memory_share=known.get("x0"),
-            tokens_waiting=None if waiting is None else waiting * 1000,
-            latency=None if latency is None else int(latency * 10))
+        """A load report by the settings' own names of its fields; what is no figure is not told."""
+        known = {name: float(v) for name in self.fields if isinstance(v := values.get(name), (int, float))
+                 and not isinstance(v, bool) and 0 <= v <= FIGURE_MOST}
+        told = {meant: known[field] * times for field, (meant, times) in self.means.items() if field in known}
+        latency = known.get("lat_ms")
+        return door.Report(held=known.get("rif"), latency=None if latency is None else int(latency * 10), **told)
 
 
 class Workers:
@@ -101,7 +126,7 @@
             if box is None:
                 roles, memory = self.profile.roles, self.profile.memory
                 box = self.boxes[name] = door.Box(
-                    mark=zlib.crc32(name.encode()), role=roles[min(kind, len(roles) - 1)], cell=cell, zone=zone,
+                    mark=zlib.crc32(name.encode()), role=roles[kind], cell=cell, zone=zone,
                     memory=int(memory[kind]) if kind < len(memory) else 0)
                 self.ids[box] = name
             box.cell, box.zone, box.weight, box.state, box.born = cell, zone, weight, state, born
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -454,7 +454,25 @@
         if self.probes:
             self.look(question)
         if not self.offer(question):
-            self.first.append(question)
+            self.wait(question, self.first)
+
+    def wait(self, question, line):
+        if self.nobody(question):
+            question.note("time_up")
+        else:
+            line.append(question)
+
+    def nobody(self, question):
+        """No worker of the list may read it, or write it: waiting would only keep its client from asking again."""
+        may, roster = question.may_run_at, self.router.roster
+        return not (any(map(may, roster.writers)) and any(
+            may(w) for some in (roster.readers, roster.writers) for w in some if w.reads))
+
+    def on_listed(self):
+        for line in (self.first, self.further):
+            for question in filter(self.nobody, tuple(line)):
+                line.remove(question)
+                question.note("time_up")
 
     def look(self, question):
         """Probes whom it may go to and whose report is old: probes grow with questions, not with routers."""
@@ -478,7 +496,7 @@
 
     def on_further(self, question, at_once=True):
         if self.first or not at_once or not self.offer(question):
-            self.further.append(question)
+            self.wait(question, self.further)
 
     def offer(self, question):
         if self.now < question.look_until and (
@@ -495,6 +513,7 @@
         if self.now - self.served < min(2 * TICK, 2 * self.routers * MS) or not (
                 self.first or self.further or self.shedding):
             return
+        self.on_listed()        # also whose window has passed since
         for line in (self.first, self.further):
             room = True     # until one finds none: a pass costs as much as the line is long otherwise
             for question in sorted(line, key=lambda q: -q.slip.use_case.benefit):
@@ -734,6 +753,7 @@
                     self, box, self.lawbook, self.routers, self.permits.probes, self.chance)
         self.tell(now, *[(self.workers[box], "listed", box.state, box.born) for box in boxes])
         self.roster = Roster(self.workers.values())
+        self.tell(now, (self.desk, "listed"))
 
     def arrived(self, now, slip):
         self.clock = now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -338,6 +338,61 @@
     assert len(host.told("send", slip)) == 2 and len(host.told("scrap", slip)) == 1
 
 
+def ended(host, slip):
+    return host.told("turn_back", slip) + host.told("scrap", slip)
+
+
+@pytest.mark.parametrize("boxes", [[], [box(1, "read")], [box(1, "write")], [
+    box(1, "read", state="draining"), box(2, "write", state="draining")], [box(1, "read"), box(2, "write", state="gone")]])
+def test_with_nobody_to_read_or_to_write_it_a_question_is_answered_on_its_arrival(boxes):
+    host = FakeHost(boxes, longest_wait=S)
+    slip = host.ask()
+    assert [a[2] for a in host.told("turn_back", slip)] == [6200]        # when to come back is named
+    assert not host.told("send") and slip not in host.router.questions
+
+
+def test_a_question_whose_last_workers_went_is_answered_on_that_event_not_near_its_outer_limit():
+    host = FakeHost(fleet())
+    slip = host.ask()
+    for b in host.boxes:
+        b.state = "gone"
+    host.router.listed(host.now, host.boxes)
+    assert not ended(host, slip)        # its read is still out
+    host.now += 50 * MS
+    host.ends(slip, door.CUT)
+    assert host.told("turn_back", slip) and slip not in host.router.questions
+
+
+def test_those_in_line_are_answered_on_the_list_that_leaves_nobody_for_them():
+    host = FakeHost([box(1, "read"), box(2, "write")])
+    first = host.ask()
+    read(host, first)
+    for b in host.boxes:
+        host.router.workers[b].doubt("a story", True)
+    slip = host.ask(session="b")
+    host.wait(100 * MS)
+    assert not host.told("send", slip) and not ended(host, slip)         # a doubted worker may come back: it waits
+    host.boxes[0].state = "draining"
+    host.router.listed(host.now, host.boxes[:1])
+    assert host.told("turn_back", slip) and not host.router.desk.first
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_receipted_question_whose_group_is_gone_or_whose_window_passed_is_answered_on_that_event(late):
+    host = FakeHost(fleet(), effect="receipted", group="cell")
+    slip = host.ask()
+    read(host, slip)
+    cell = [b for b in host.boxes if b.cell == host.last(slip)[2].cell]
+    if late:
+        host.now += 5 * S
+    else:
+        for b in cell:
+            b.state = "gone"
+        host.router.listed(host.now, cell)
+    host.ends(slip, door.FAULT)
+    assert host.told("scrap", slip) and len(host.told("send", slip)) == 2 and slip not in host.router.questions
+
+
 def test_many_routers_with_the_same_old_view_do_not_all_pick_the_same_writer():
     boxes = [box(n, "read", n % 10) for n in range(10)] + [box(100 + n, "write", n % 10) for n in range(30)]
     hosts = [FakeHost(boxes, routers=150) for _ in range(3)]
