--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -299,6 +299,7 @@
         self.likely = slip.likely_out or slip.most_out // 3
         self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
         self.held_by, self.place, self.closed, self.streams = None, None, False, False
+        self.lined = self.arrived               # since when it stands in line
         self.draws, self.home = [crc32(text.encode()) for text in (slip.prefix or slip.session, slip.session)]
         favoured = slip.prefix_tokens * (1 - FAVOURED / min(router.routers, SPEAKS_FOR))
         self.favoured = [int(favoured + HOME * (slip.prompt - slip.prefix_tokens) * home) for home in (0, 1)]
@@ -460,6 +461,7 @@
         if self.nobody(question):
             question.note("time_up")
         else:
+            question.lined = self.now
             line.append(question)
 
     def nobody(self, question):
@@ -519,7 +521,7 @@
             for question in sorted(line, key=lambda q: -q.slip.use_case.benefit):
                 if question.closed or (room and self.offer(question)):
                     line.remove(question)
-                elif self.now - question.arrived >= self.patience(question):
+                elif self.now >= self.patience(question):
                     line.remove(question)
                     question.note("time_up")
                     self.turned.append(self.now)
@@ -532,8 +534,9 @@
                                  f"of late, {len(self.first)} + {len(self.further)} in line")
 
     def patience(self, question):
-        most = question.slip.patience - 2 * MARGIN
-        return most - question.promised // 4 if question.sends else min(LINE_PART * question.promised, most)
+        """Till when it may stand in line: not till near its outer limit, so that its client can ask again."""
+        most, part = question.leaves - 2 * MARGIN, 1 if question.sends else LINE_PART
+        return min(question.lined + part * question.promised, most - question.promised // 4 * bool(question.sends))
 
     def limit(self, question):
         if question.sends:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -393,6 +393,22 @@
     assert host.told("scrap", slip) and len(host.told("send", slip)) == 2 and slip not in host.router.questions
 
 
+@pytest.mark.parametrize("sent,until", [(False, 12_400 * 0.3), (True, 12_400)])
+def test_who_stands_in_line_is_answered_while_its_client_can_still_ask_again(sent, until):
+    host = FakeHost(fleet())
+    slip = host.ask() if sent else None
+    for worker in host.router.workers.values():
+        worker.doubt("a story", True)
+        worker.trial_at = 100 * S       # usable again too late for it
+    if sent:
+        host.ends(slip, door.CUT)
+    slip = slip or host.ask()
+    host.wait(int(until) - MS)
+    assert not ended(host, slip)
+    host.wait(200 * MS)
+    assert host.told("turn_back", slip) and len(host.told("send", slip)) == sent
+
+
 def test_many_routers_with_the_same_old_view_do_not_all_pick_the_same_writer():
     boxes = [box(n, "read", n % 10) for n in range(10)] + [box(100 + n, "write", n % 10) for n in range(30)]
     hosts = [FakeHost(boxes, routers=150) for _ in range(3)]
