--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -11,7 +11,8 @@
 from random import Random
 from zlib import crc32
 
-from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, STALE, TOO_SLOW
+from ramppulley.door import (
+    CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, STALE, TOO_SLOW)
 from ramppulley.parts import Actor, Figures, Kept, Roster, Samples, Send, busiest, lot, mean, middle
 
 MS = 10                         # tenths of a millisecond
@@ -240,7 +241,7 @@
         self.take(report)
         if outcome in (DONE, NO_ROOM, FAULT):       # also a refusal is an answer: the process lives
             self.trust()
-        elif outcome != STALE:      # alone it proves nothing: connections may be slow to open; but others come first
+        elif outcome != STALE:      # alone it proves nothing: connections open slowly; but others come first
             self.missed += 1
             if self.doubted or (self.missed > 1 and self.quiet() > SILENT_LEAST):
                 self.doubt("probe unanswered")
@@ -465,7 +466,7 @@
             line.append(question)
 
     def nobody(self, question):
-        """No worker of the list may read it, or write it: waiting would only keep its client from asking again."""
+        """No worker of the list may read it, or write it: waiting keeps its client from asking again."""
         may, roster = question.may_run_at, self.router.roster
         return not (any(map(may, roster.writers)) and any(
             may(w) for some in (roster.readers, roster.writers) for w in some if w.reads))
@@ -536,7 +537,8 @@
     def patience(self, question):
         """Till when it may stand in line: not till near its outer limit, so that its client can ask again."""
         most, part = question.leaves - 2 * MARGIN, 1 if question.sends else LINE_PART
-        return min(question.lined + part * question.promised, most - question.promised // 4 * bool(question.sends))
+        most -= question.promised // 4 * bool(question.sends)
+        return min(question.lined + part * question.promised, most)
 
     def limit(self, question):
         if question.sends:
