Reread: losing a place again and again no longer keeps a question till its outer limit

Seen on rereading: the wait in line was only looked at for a question that found no pair, and began anew each time it was put back, so one whose place was used up by others each time stood till its outer limit. A story with such a question fails on the text before and holds now. At fault: Desk.wait and on_serve. Mend: the time counts from the end of the last send (Question.idle), looked at when it is put back.

--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -102,6 +102,8 @@
         try:
             self.listen, self.discovery = platform.address(told["listen"]), platform.address(told["discovery"])
             self.profile = Profile(told["settings"])
+            if not self.profile.kinds:      # the list tells a worker's kind by its name: none could be used
+                raise Unfit("settings.Kinds is missing")
             if not self.profile.connect_within:
                 raise Unfit("settings.Bounds.ConnectTimeoutS: a number over 0 is needed")
             self.seed = int(str(told.get("seed") or 0), 16)
--- a/ramppulley/drill/wire.py
+++ b/ramppulley/drill/wire.py
@@ -57,8 +57,8 @@
         self.workers = Workers(self.profile)
         self.boxes, self.ids = self.workers.boxes, self.workers.ids     # address -> Box, Box -> address
         self.router = self.profile.router(make, self, seed, now)
-        self.asking, self.pause = self.profile.discovery == "on_request", ASK_AGAIN
-        if self.asking:
+        self.pause = ASK_AGAIN
+        if self.profile.discovery == "on_request":
             self.subscribe()
 
     def subscribe(self):
@@ -110,11 +110,11 @@
     def membership(self, now, fields, entries):
         kind = fields[1]
         if kind == "error":
-            if self.asking:
+            if self.profile.discovery == "on_request":
                 self.remind(self.pause, self.subscribe)
                 self.pause = min(ASK_MOST, 2 * self.pause)
             return
-        self.pause = ASK_AGAIN if kind != "disk" else self.pause
+        self.pause = ASK_AGAIN
         self.router.listed(now, self.workers.told([
             (address, STATES[state], int(cell), int(zone), int(flavor), 1.0 if weight == "-" else float(weight),
              tenths(born) or None) for state, cell, address, weight, zone, flavor, born in self.known(entries)],
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -300,7 +300,7 @@
         self.likely = slip.likely_out or slip.most_out // 3
         self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
         self.held_by, self.place, self.closed, self.streams = None, None, False, False
-        self.lined = self.arrived               # since when it stands in line
+        self.idle = self.arrived                # since when it has had nothing out
         self.draws, self.home = [crc32(text.encode()) for text in (slip.prefix or slip.session, slip.session)]
         favoured = slip.prefix_tokens * (1 - FAVOURED / min(router.routers, SPEAKS_FOR))
         self.favoured = [int(favoured + HOME * (slip.prompt - slip.prefix_tokens) * home) for home in (0, 1)]
@@ -405,6 +405,7 @@
 
     def again(self):
         """Another pair, by the further line; or an answer at once if there can be none."""
+        self.idle = self.now
         self.let_go()
         lost = self.maybe_ran and self.slip.use_case.effect == "effectful"
         if lost or self.sends >= self.permits.sends or self.left_to() <= 0:
@@ -459,10 +460,9 @@
             self.wait(question, self.first)
 
     def wait(self, question, line):
-        if self.nobody(question):
+        if self.nobody(question) or self.now >= self.patience(question):
             question.note("time_up")
         else:
-            question.lined = self.now
             line.append(question)
 
     def nobody(self, question):
@@ -538,7 +538,7 @@
         """Till when it may stand in line: not till near its outer limit, so that its client can ask again."""
         most, part = question.leaves - 2 * MARGIN, 1 if question.sends else LINE_PART
         most -= question.promised // 4 * bool(question.sends)
-        return min(question.lined + part * question.promised, most)
+        return min(question.idle + part * question.promised, most)
 
     def limit(self, question):
         if question.sends:
--- a/ramppulley/told.py
+++ b/ramppulley/told.py
@@ -1,6 +1,7 @@
 """Settings as they were told, read one field at a time: what is missing, misplaced or without a meaning is named at once.
 
-It stops a router at its start, with one line, before it serves a day by a guess.
+It stops a router at its start, with one line, before it serves a day by a guess. By the standard library alone: the bench
+adapter stands on nothing else, and the platform's router has no room for a library of models.
 """
 NEEDED = object()               # in place of what an absent field means
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -640,12 +640,14 @@
 @pytest.mark.parametrize("text", [
     None, "{", "[]", "{}", '{"listen": "x", "discovery": "y", "settings": {}}',
     json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
-                "settings": SETTINGS | {"Report": {"How": "carrier", "Fields": []}}})])
+                "settings": SETTINGS | {"Report": {"How": "carrier", "Fields": []}}}),
+    json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS | {"Kinds": None}})])
 def test_a_configuration_that_cannot_be_used_is_one_line_and_a_status(tmp_path, text):
     process = start(tmp_path, text)
     _, told = process.communicate(timeout=20)
     assert process.returncode == 2 and told.count("\n") == 1 and told.startswith("ramppulley platform: configuration")
     assert "carrier" not in (text or "") or "settings.Report.How: 'carrier'" in told
+    assert '"Kinds": null' not in (text or "") or "settings.Kinds is missing" in told
 
 
 def test_the_program_starts_serves_and_ends_by_its_signals(tmp_path):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,6 +8,7 @@
 
 from ramppulley import door
 from ramppulley.parts import DRAWN_KEYS, Draws, lot
+from ramppulley.rules import Question
 
 
 def read(host, slip, **more):
@@ -409,6 +410,17 @@
     assert host.told("turn_back", slip) and len(host.told("send", slip)) == sent
 
 
+def test_losing_its_place_to_others_again_and_again_does_not_keep_a_question_till_its_outer_limit(monkeypatch):
+    host = FakeHost(fleet())
+    slip = host.ask()
+    monkeypatch.setattr(Question, "send", lambda *_: False)     # what it was given was always used up by another since
+    host.ends(slip, door.CUT)
+    host.wait(12_400 - MS)
+    assert not ended(host, slip)
+    host.wait(200 * MS)
+    assert host.told("turn_back", slip)
+
+
 def test_many_routers_with_the_same_old_view_do_not_all_pick_the_same_writer():
     boxes = [box(n, "read", n % 10) for n in range(10)] + [box(100 + n, "write", n % 10) for n in range(30)]
     hosts = [FakeHost(boxes, routers=150) for _ in range(3)]
