Rule 5 is not laid to a router while the rig's own process stands still; ports are kept

The router's own record beside the ledger: 2q1213 was read at 963 ms, the router knew at 974 ms and sent the write at 974.1 ms; the stand-in saw it at 1369.5 ms. A beat in the stand-ins' process showed that it stood still for 283 ms then (a full collection, at first) and 50 to 100 ms in most turns. Ruled out: module (0.3 ms), connector (one turn), crash and restart, releases tried again. At fault: check/rules.py charged the router with what the stand-ins' process did not read; standin/server.py:_expire noted the end of what was taken up to 250 ms late; load/run.py let full collections run. Also: a router's port was free when chosen and lost when bound (Errno 98): it is now kept bound, without listening, through all restarts. Not covered: a router that itself gets no processor is still charged.

--- a/ramppulley/check/rules.py
+++ b/ramppulley/check/rules.py
@@ -1,7 +1,8 @@
 """The five rules, checked on the evidence of a run alone. Pure.
 
 SLACK is what two processes on one machine may disagree by: a closing that is noticed a turn of the loop later, a client
-whose clock starts at its own connect. A breach smaller than that is not seen.
+whose clock starts at its own connect. A breach smaller than that is not seen. While the stand-ins' process stands still
+(`Evidence.stood`) nothing that a router sends can be seen to arrive, so the clocks on it rest.
 """
 from collections import defaultdict
 
@@ -39,6 +40,11 @@
     return found
 
 
+def moved(evidence, start, end):
+    """The time from start to end in which the stand-ins' process went on."""
+    return end - start - sum(max(0, min(end, b) - max(start, a)) for a, b in evidence.stood)
+
+
 def excused(evidence, asked):
     """Whether its router was killed while it held the question."""
     return any(router == asked.router and asked.sent - SLACK <= at <= max(asked.ended, asked.sent) + SLACK
@@ -55,7 +61,7 @@
         if not asked.in_order:
             yield Breach(1, asked.name, "tokens missing, doubled or out of order")
         for entry in sends[asked.name]:
-            if asked.ended and entry.arrived > asked.ended + SLACK and asked.how != "unreached":
+            if asked.ended and moved(evidence, asked.ended, entry.arrived) > SLACK and asked.how != "unreached":
                 yield Breach(1, asked.name, f"sent to {entry.engine} {(entry.arrived - asked.ended) / 10:.0f} ms after "
                                             f"it was {asked.how}")
 
@@ -67,7 +73,7 @@
         if len(entries) > evidence.sends:
             yield Breach(2, asked.name, f"{len(entries)} sends")
         for before, after in zip(entries, entries[1:]):
-            if before.ended is None or after.arrived < before.ended - SLACK:
+            if before.ended is None or moved(evidence, after.arrived, before.ended) > SLACK:
                 yield Breach(2, asked.name, f"out at {before.engine} and {after.engine} at once")
         may_have_run = [e for e in entries if e.what != "read" and e.how not in ("full", "no_state")]
         for entry in (e for e in entries if e.what != "read"):
@@ -133,13 +139,13 @@
         for entry in sends[name]:
             if until is not None and entry.opened >= until:
                 break
-            if entry.opened - at > evidence.let_go_within + SLACK:
+            if moved(evidence, at, entry.opened) > evidence.let_go_within + SLACK:
                 break
             at = max(at, entry.ended if entry.ended is not None else at)
         for worker, start, end in evidence.unreachable:     # the clock rests while nobody can tell it
             if worker == held.engine and at < end and (until is None or until > start):
                 at = max(at, end)
-        if until is None or until - at > evidence.let_go_within + SLACK:
+        if until is None or moved(evidence, at, until) > evidence.let_go_within + SLACK:
             lasted = "until the end" if until is None else f"{(until - at) / 10:.0f} ms"
             yield Breach(5, name, f"a {held.what} at {held.engine} stayed {lasted} with no send out")
 
--- a/ramppulley/load/day.py
+++ b/ramppulley/load/day.py
@@ -54,7 +54,7 @@
     """What goes wrong. `who`: names of workers by shell pattern, or a part of a role."""
     what: Literal["crash", "silence", "slow", "neighbour", "late_reports", "forget", "cut_off", "slow_handshake", "drain",
                   "taken_away", "wrong_full", "pauses", "cut_answers", "corrupt_answers", "router_roll", "burst",
-                  "hot_beginning", "flood"]
+                  "hot_beginning", "flood", "standstill"]
     at_s: float = Field(ge=0)
     for_s: float = Field(3.0, gt=0)
     who: str = "*"
--- a/ramppulley/load/run.py
+++ b/ramppulley/load/run.py
@@ -1,5 +1,6 @@
 """Plays a day on loopback: stand-ins, routers and clients; gathers the evidence from what crossed the sockets."""
 import asyncio
+import gc
 import json
 import os
 import signal
@@ -11,6 +12,7 @@
 
 from ramppulley.check.evidence import Asked, Evidence
 from ramppulley.daemon.daemon import Daemon
+from ramppulley.load.beat import Beat
 from ramppulley.load.client import ask
 from ramppulley.load.day import arrivals, body_of
 from ramppulley.load.troubles import Troubles
@@ -72,13 +74,23 @@
         await self.daemon.stop()
 
 
+def reserved(kind=socket.SOCK_STREAM):
+    """A socket bound to a free port that nobody else is given while it is open: only who names the port may listen there.
+
+    A port that was free a moment ago may be any outgoing connection's by the time that a program binds it.
+    """
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
 class ProcessRouter:
     """A router in a process of its own, on one port through all its restarts."""
 
     def __init__(self, orders, folder, policy="module"):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.port = sock.getsockname()[1]
+        self.reserved = reserved()
+        self.port = self.reserved.getsockname()[1]
         self.name, self.folder, self.policy, self.killed_at = orders["name"], Path(folder), policy, []
         self.path = self.folder / f"{self.name}.json5"
         checked = demo_orders(**orders | {"listen": {"port": self.port}}).model_dump(exclude_none=True)
@@ -108,6 +120,7 @@
             except TimeoutError:
                 self.process.kill()
                 await self.process.wait()
+        self.reserved.close()
 
 
 def expected(count):
@@ -166,9 +179,12 @@
     fleet.lag = day.fleet.list_lag_s
     orders = [orders_of(day, n) for n in range(day.routers)]
     routers = [TaskRouter(o, folder, log, make) if make else ProcessRouter(o, folder, policy) for o in orders]
-    tasks = []
+    tasks, beat = [], Beat()
+    gc.collect()
+    gc.freeze()                         # a full collection stops all stand-ins and clients for up to tenths of a second
     try:
         await asyncio.gather(*(r.start() for r in routers))
+        beat.start()
         troubles = Troubles(fleet, day.seed, routers)
         start = loop.time() + 0.1
         progress(f"{day.name}: {len(plan)} questions in {day.length_s:g} s, {day.routers} router(s), "
@@ -188,9 +204,11 @@
         while loop.time() < limit and fleet.open_held():
             await asyncio.sleep(0.02)
     finally:
+        gc.unfreeze()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*(r.stop() for r in routers), return_exceptions=True)
+        await beat.stop()
         end_held = [h for h in fleet.held if h.until is None]
         await fleet.stop()
         for held in end_held:
@@ -205,5 +223,5 @@
         [(n, at) for n, r in enumerate(routers) for at in getattr(r, "killed_at", ())],
         {n: (k.cold_from, k.cold_for, k.fall_multiple, k.fall_window) for n, k in kinds.items()},
         {name: (c["group"], int(c["window_s"] * S)) for name, c in USE_CASES.items() if "window_s" in c},
-        [(n, a, b if b is not None else 1 << 62) for n, s in fleet.standins.items() for a, b in s.unreachable],
+        [(n, a, b if b is not None else 1 << 62) for n, s in fleet.standins.items() for a, b in s.unreachable], beat.stood,
         int(law.drain_grace_s * S), int(law.let_go_within_s * S), 4)
--- a/ramppulley/load/troubles.py
+++ b/ramppulley/load/troubles.py
@@ -1,6 +1,7 @@
 """Carries out a day's troubles on a fleet of stand-ins, at their times."""
 import asyncio
 import fnmatch
+import time
 from random import Random
 
 S = 10_000
@@ -118,6 +119,10 @@
     async def _corrupt_answers(self, trouble, names):
         await self._switch(trouble, names, "corrupt_part", trouble.size, 0.0)
 
+    async def _standstill(self, trouble, names):
+        """The rig's own process does nothing for a while, as on a machine that is too busy: no router's fault."""
+        time.sleep(trouble.for_s)  # noqa: ASYNC251
+
     async def _router_roll(self, trouble, names):
         """Routers are killed outright and started again, one after the other."""
         for number in range(min(trouble.count, len(self.routers))):
--- a/ramppulley/standin/model.py
+++ b/ramppulley/standin/model.py
@@ -101,11 +101,12 @@
         self.moves[link] = under_way + [end]
         return end
 
-    def release(self, key):
-        """Takes a state off its engine's memory; whether there was one."""
+    def release(self, key, at=None):
+        """Takes a state off its engine's memory; whether there was one. `at`: when another engine had fetched it."""
         state = self.states.pop(key, None)
         if state:
             state.engine.held -= state.tokens
+            state.engine.taken(key, at)
         return state is not None
 
 
@@ -115,6 +116,7 @@
     def __init__(self, name, kind, yard, *, cell="", zone="", born=None):
         self.name, self.kind, self.yard, self.cell, self.zone = name, kind, yard, cell, zone
         self.slower, self.down = 1.0, False
+        self.taken = lambda key, at: None       # told of each state and place that somebody took, and when
         self.restart(born)
 
     def restart(self, born):
@@ -237,6 +239,7 @@
             self.waiting.popleft()
             if place:
                 del self.places[job.name.rpartition("-s")[0]]
+                self.taken(job.name.rpartition("-s")[0], now)
             if job.state and job.left is None:
                 job.ready_at = self.yard.move(job.state, self, now)
                 if job.ready_at is None:
@@ -280,7 +283,7 @@
                 continue
             if job.ready_at is not None:        # the state has arrived: the reader's memory is let go
                 job.ready_at = None
-                if not self.yard.release(job.state):
+                if not self.yard.release(job.state, now):
                     self.running.remove(job)
                     told.append(Told("no_state", job, now))
                     continue
--- a/ramppulley/standin/server.py
+++ b/ramppulley/standin/server.py
@@ -54,6 +54,7 @@
         self.held = [] if held is None else held
         self.waits, self.listener, self.wake, self.pump = {}, None, asyncio.Event(), None
         self.receipts, self.open_held = {}, {}
+        engine.taken = lambda key, at: self._close_held(key, "taken", at)
         # faults
         self.silent_to, self.refuses, self.handshake, self.cut_part, self.corrupt_part = 0, None, 0.0, 0.0, 0.0
         self.report_late, self.count, self.reports, self.unreachable = 0, 0, [], []
@@ -132,16 +133,12 @@
 
     def _expire(self, now):
         for key, held in list(self.open_held.items()):
-            if held.what == "state" and key not in self.engine.yard.states:
-                self._close_held(key, "taken")
-            elif held.what == "place" and key not in self.engine.places:
-                self._close_held(key, "taken")
-            elif now - held.since > STATE_LIFE:
+            if now - held.since > STATE_LIFE:
+                self._close_held(key, "expired")
                 if held.what == "state":
                     self.engine.yard.release(key)
                 else:
                     self.engine.drop_place(key)
-                self._close_held(key, "expired")
 
     def _close_held(self, key, how, at=None):
         held = self.open_held.pop(key, None)
@@ -267,15 +264,16 @@
     async def _release(self, wire, body, arrived):
         key = body.get("remote_block_ids")
         if key:
-            if self.engine.yard.release(key[0]):
+            if key[0] in self.engine.yard.states:
                 self._close_held(key[0], "let go", arrived)
+                self.engine.yard.release(key[0])
         else:
             name = str(body.get("request_id"))
             self.engine.drop_place(name)
             self._close_held(name, "let go", arrived)
             for left in [k for k, h in self.open_held.items() if h.what == "state" and h.request == name]:
-                self.engine.yard.release(left)
                 self._close_held(left, "let go", arrived)
+                self.engine.yard.release(left)
         self.wake.set()
         await wire.send(http.answer(200, self._headers(), b"{}"))
         return True
@@ -406,8 +404,8 @@
         try:
             await wire.send(http.answer(200, self._headers(), raw))
         except (OSError, asyncio.CancelledError):
-            if self.engine.yard.release(key):
-                self._close_held(key, "let go")
+            self._close_held(key, "let go")
+            self.engine.yard.release(key)
             raise
         entry.how = "answered"
         return True
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -1,13 +1,15 @@
 """Stories of the rule checkers: each on a small piece of evidence, and on a router that is broken on purpose."""
+import socket
+
 import pytest
 import structlog
-from rig import story
+from rig import Rig, story
 
 from ramppulley import door
 from ramppulley.check import rules
 from ramppulley.check.evidence import Asked, Entry, Evidence, Held
 from ramppulley.load.day import Day, Fleet, Stream, Trouble, arrivals
-from ramppulley.load.run import play
+from ramppulley.load.run import play, reserved
 from ramppulley.rules import Router
 
 S = 10_000
@@ -93,6 +95,38 @@
     assert found(read, held=[held], one=one, unreachable=[("other", 2000, 9 * S)]) == [5]
 
 
+def test_what_reaches_stand_ins_that_stand_still_is_not_late_by_the_router():
+    held = Held("r", "q.r0-1-s0", "state", 1000, 9000, "taken")
+    one, read, write = asked(ended=2 * S), sent(0, 1000, "r", "read"), sent(7000, 9000, number=1)
+    assert found(read, write, held=[held], one=one) == [5]
+    assert found(read, write, held=[held], one=one, stood=[(1100, 6900)]) == []
+    assert found(read, write, held=[held], one=one, stood=[(1100, 2000), (8000, 20_000)]) == [5]
+    late = sent(2 * S, 3 * S)
+    assert found(late, one=asked(how="left")) == [1]
+    assert found(late, one=asked(how="left"), stood=[(S, 2 * S)]) == []
+
+
+@story
+async def test_a_state_that_was_fetched_ends_when_it_was_and_not_when_its_engine_next_looks():
+    async with Rig(cells=1, readers=1, writers=1) as rig:
+        for standin in rig.fleet.standins.values():
+            if standin.engine.kind.role == "read":
+                standin._expire = lambda now: None
+        assert (await rig.chat()).done
+        assert [(held.how, held.until is not None) for held in rig.fleet.held if held.what == "state"] == [("taken", True)]
+
+
+def test_a_reserved_port_is_given_to_nobody_else():
+    with reserved() as kept:
+        port = kept.getsockname()[1]
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind(("127.0.0.1", port))
+        with socket.socket() as router:     # as the program's listener binds
+            router.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            router.bind(("127.0.0.1", port))
+            router.listen()
+
+
 def test_a_day_is_the_same_day_each_time():
     day = Day(name="d", length_s=4, streams=[Stream(per_s=30)], troubles=[Trouble(what="burst", at_s=2, for_s=1)])
     plan = arrivals(day)
