--- a/ramppulley/gossip/members.py
+++ b/ramppulley/cluster/members.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from math import ceil, log, log10
 
-from ramppulley.gossip.words import VERSION, News, Packet, Unreadable, packed, read, sized
+from ramppulley.cluster.words import VERSION, News, Packet, Unreadable, packed, read, sized
 
 MS, S = 10, 10_000
 RANK = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}     # at one incarnation the later word wins
--- a/ramppulley/door.py
+++ b/ramppulley/door.py
@@ -61,6 +61,7 @@
     weight: float = 1.0
     state: str = "ready"        # ready, draining or gone
     born: int | None = None     # time of its last start; None = long ago
+    usual: bool = True          # False: used only where those used ordinarily cannot take a question in good time
 
 
 @dataclass(eq=False)
--- a/ramppulley/load/nets.py
+++ b/ramppulley/load/nets.py
@@ -6,7 +6,7 @@
 import heapq
 from random import Random
 
-from ramppulley.gossip.members import MS, Manners, Members, S
+from ramppulley.cluster.members import MS, Manners, Members, S
 
 PLAIN = Manners(health_most=0, confirmations=0)         # SWIM without Lifeguard, our own baseline
 
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -306,6 +306,11 @@
         self.favoured = [int(favoured + HOME * (slip.prompt - slip.prefix_tokens) * home) for home in (0, 1)]
         self.lots, self.drawn = {}, (None, None, ())    # its session's, by writer; order, by list and sends
         self.asked, self.look_until = [], 0     # whom it asked for a place or a report; till when it waits
+        self.wide = False                       # whether it looks beyond the workers that are used ordinarily
+
+    @property
+    def roster(self):
+        return self.router.roster if self.wide else self.router.usual
 
     def left_to(self):
         return self.leaves - MARGIN - self.now
@@ -388,12 +393,13 @@
         elif not self.out:
             if outcome != READ:
                 self.tried.append(send.worker)
+                self.wide = True
             (self.hand_over if self.held_by else self.again)()
 
     def hand_over(self):
         """The state waits: the writer with its place or the fixed one takes it, else the next of its cell."""
         desk, cell, most = self.router.desk, self.held_by.box.cell, FAR_AFTER * self.promised
-        near = self.writers + self.router.roster.cells.get(cell, []) + desk.drawn(self)
+        near = self.writers + self.roster.cells.get(cell, []) + desk.drawn(self)
         order = [w for w in desk.ranked(self, near) if w not in self.tried]
         far = {w: FAR_CELL * self.promised * (w.box.cell != cell) for w in order}
         listed = {w: i for i, w in enumerate(self.writers)}
@@ -479,7 +485,7 @@
 
     def look(self, question):
         """Probes whom it may go to and whose report is old: probes grow with questions, not with routers."""
-        writers, roster = self.drawn(question), self.router.roster
+        writers, roster = self.drawn(question), question.roster
         for home in writers[:1]:
             cell = home.box.cell
             places = (roster.reads_drawn.other(question.draws, cell, home.box.zone, OTHER_ZONE)
@@ -506,9 +512,13 @@
                 self.now == question.arrived or any(w.probing for w in question.asked)):
             return False
         took, reader, writer = self.pair(question)
+        if question.roster is not self.router.roster and (
+                reader is None or took > FAR_AFTER * question.promised):
+            question.wide = True        # departure: what it uses ordinarily is sick, full, cold or gone
+            took, reader, writer = self.pair(question)
         if reader is None or took > self.limit(question):
             return False
-        same = self.ranked(question, self.router.roster.cells[writer.box.cell])
+        same = self.ranked(question, question.roster.cells[writer.box.cell])
         question.note("go", reader, list(dict.fromkeys([writer, *same])))
         return True
 
@@ -553,7 +563,7 @@
     def drawn(self, question):
         """A few usable writers, drawn by the session, which so finds its home, the cell of the first, at each
         router: with the same old reports they must not all pick the same best."""
-        roster, sends, zone = self.router.roster, question.sends, self.zone
+        roster, sends, zone = question.roster, question.sends, self.zone
         if question.drawn[0] is not roster or question.drawn[1] != sends:
             key = crc32(f"{question.slip.session} {sends}".encode())
             question.drawn = roster, sends, roster.writes_drawn.order(key)
@@ -593,7 +603,7 @@
 
     def pair(self, question):
         """(expected time to the first token, reader, writer), without them if there is none."""
-        scale, tried, roster = question.promised, question.tried, self.router.roster
+        scale, tried, roster = question.promised, question.tried, question.roster
         drawn = self.drawn(question)
         ranked = self.scored(question, drawn)   # so each of them has its figures worked out
         across = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
@@ -649,7 +659,7 @@
 
     def uses_others(self, question, writer):
         """Whether a question of this writer does not keep to its cell's readers: racks differ."""
-        even, lots = NEAR_REACH * self.router.roster.reach.get(writer.box.cell, 0), question.lots
+        even, lots = NEAR_REACH * question.roster.reach.get(writer.box.cell, 0), question.lots
         if even < 1 and writer not in lots:
             lots[writer] = lot(question.home, writer)
         return even < 1 and lots[writer] > even
@@ -686,7 +696,8 @@
         super().__init__(self)
         self.host, self.clock, self.due, self.chance = host, now, deque(), Random(seed).random
         self.permits, self.lawbook, self.routers = permits, lawbook, routers
-        self.workers, self.questions, self.fleet_figures, self.roster = {}, {}, {}, Roster(())
+        self.workers, self.questions, self.fleet_figures = {}, {}, {}
+        self.roster = self.usual = Roster(())
         self.busy, self.fresh = set(), deque()  # workers that may owe a first token; questions without
         self.desk, self.tick_at = Desk(self, zone, routers, use_cases, accounts, permits.probes), 0
 
@@ -757,7 +768,10 @@
                 self.workers[box] = Worker(
                     self, box, self.lawbook, self.routers, self.permits.probes, self.chance)
         self.tell(now, *[(self.workers[box], "listed", box.state, box.born) for box in boxes])
-        self.roster = Roster(self.workers.values())
+        usual = [w for w in self.workers.values() if w.box.usual]
+        self.roster = self.usual = Roster(self.workers.values())
+        if len(usual) < len(self.workers):
+            self.usual = Roster(usual)
         self.tell(now, (self.desk, "listed"))
 
     def arrived(self, now, slip):
--- a/tests/test_gossip.py
+++ b/tests/test_members.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramppulley.gossip import words
-from ramppulley.gossip.members import MS, RANK, Manners, Member, Members, S
-from ramppulley.gossip.words import News, Packet, Unreadable
+from ramppulley.cluster import words
+from ramppulley.cluster.members import MS, RANK, Manners, Member, Members, S
+from ramppulley.cluster.words import News, Packet, Unreadable
 from ramppulley.load.nets import PLAIN, Net, table
 
 
