--- a/ramppulley/check/evidence.py
+++ b/ramppulley/check/evidence.py
@@ -51,6 +51,7 @@
     cold: dict[str, tuple[float, int, float, int]] = {}     # worker -> cold part, cold time, multiple, window
     windows: dict[str, tuple[str, int]] = {}        # use case -> group and window of a receipt
     unreachable: list[tuple[str, int, int]] = []    # worker, from, to: no router could tell it anything
+    away: list[tuple[int, int, int]] = []           # (router, from, to): its process was stopped, not ended
     stood: list[tuple[int, int]] = []               # from, to: the stand-ins' own process did nothing at all
     drain_grace: int = 20_000
     let_go_within: int = 3_000
--- /dev/null
+++ b/ramppulley/check/fleetwide.py
@@ -0,0 +1,90 @@
+"""Whether the choices of many routers add up: on the engines' ledger alone. Pure. Times: tenths of a millisecond."""
+import msgspec
+
+from ramppulley.check.rules import moved
+
+SPAN = 100_000                  # 10 s in which a worker that is ready must be sent something ...
+EXPECTED = 50                   # ... where its even part of what was sent to its like is so much
+
+
+class LeftOut(msgspec.Struct):
+    """A worker that nobody sent anything for a time, although it was ready and its like had much to do."""
+    worker: str
+    start: int
+    end: int
+    expected: float
+
+    def __str__(self):
+        return (f"{self.worker} was sent nothing for {(self.end - self.start) / 10_000:.1f} s; "
+                f"{self.expected:.0f} requests were its even part")
+
+
+def router_of(request):
+    """
+    >>> router_of("0q17.r3-4-s1")
+    'r3'
+    """
+    return request.partition(".")[2].partition("-")[0]
+
+
+def left_out(evidence, roles, span=SPAN):
+    """All LeftOut of a run, one for each worker and stretch. `roles`: worker -> role."""
+    arrivals = {name: [] for name in roles}
+    for entry in sorted(evidence.ledger, key=lambda e: e.arrived):
+        arrivals[entry.engine].append(entry.arrived)
+    if not evidence.ledger:
+        return []
+    first, last = min(a.sent for a in evidence.asked), max(a.sent for a in evidence.asked)
+    found = []
+    for name, times in arrivals.items():
+        like = [at for other, role in roles.items() if role == roles[name] for at in arrivals[other]]
+        even = sum(role == roles[name] for role in roles.values())
+        for start, end in zip([first, *times], [*times, last]):
+            for a, b in _ready(evidence, name, start, end):
+                expected = sum(a <= at < b for at in like) / even
+                if moved(evidence, a, b) >= span and expected >= EXPECTED:
+                    found.append(LeftOut(name, a, b, expected))
+    return found
+
+
+def _ready(evidence, name, start, end):
+    """The parts of a stretch in which a worker was listed as ready, warm and could be reached."""
+    edges = [(at, listed.get(name, "gone") == "ready") for at, listed in sorted(evidence.listed, key=lambda p: p[0])]
+    cold = [(born, born + evidence.cold[worker][1]) for worker, born in evidence.births if worker == name]
+    away = [(a, b) for worker, a, b in evidence.unreachable if worker == name]
+    cuts = sorted({start, end, *[at for at, _ in edges], *[at for span in cold + away for at in span]})
+    whole = []
+    for a, b in zip(cuts, cuts[1:]):
+        if a < start or b > end:
+            continue
+        state = [ready for at, ready in edges if at <= a]
+        if (state[-1] if state else True) and not any(x <= a < y for x, y in cold + away):
+            if whole and whole[-1][1] == a:
+                whole[-1][1] = b
+            else:
+                whole.append([a, b])
+    return whole
+
+
+def unevenness(evidence, roles):
+    """{role: how many times its even part the most loaded worker got}, by the work sent to those that never went away."""
+    gone = {name for _, listed in evidence.listed for name, state in listed.items() if state != "ready"}
+    gone |= {worker for worker, _ in evidence.births}
+    found = {}
+    for role in sorted(set(roles.values())):
+        work = {name: 0 for name, its in roles.items() if its == role and name not in gone}
+        for entry in evidence.ledger:
+            if entry.engine in work:
+                work[entry.engine] += entry.weight
+        if work and sum(work.values()):
+            found[role] = round(max(work.values()) * len(work) / sum(work.values()), 3)
+    return found
+
+
+def spread(evidence, roles):
+    """(mean, most) number of routers that sent a worker anything."""
+    routers = {name: set() for name in roles}
+    for entry in evidence.ledger:
+        routers[entry.engine].add(router_of(entry.request))
+    counts = [len(some) for some in routers.values()]
+    return round(sum(counts) / max(1, len(counts)), 1), max(counts, default=0)
--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -96,6 +96,52 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def storm(file: Path,
+          seeds: Annotated[str, typer.Option(help="several with commas between, or FIRST-LAST; else the file's")] = "",
+          routers: Annotated[str, typer.Option(help="instead of the file's number, several with commas between")] = "",
+          subset: Annotated[str, typer.Option(help="on, off, or both on the same seeds; else as the file says")] = "",
+          out: Annotated[Optional[Path], typer.Option(help="folder for storm.json, .csv and .svg")] = None,
+          keep: Annotated[Optional[Path], typer.Option(help="folder that keeps the routers' settings, logs, disks")] = None,
+          json_: Annotated[bool, typer.Option("--json", help="a line of JSON each")] = False):
+    """Run many router processes on loopback with faults between them, and judge them by sockets, engines and disks."""
+    import json
+
+    from ramppulley.load.storm import Storm
+    from ramppulley.load import stormreport
+    try:
+        told = json5.read(file, Storm)
+        first, _, last = (seeds or str(told.seed)).partition("-")
+        numbers = list(range(int(first), int(last) + 1)) if last else [int(s) for s in first.split(",")]
+        sizes = [int(n) for n in routers.split(",")] if routers else [told.routers]
+        least = told.subset or Storm.model_fields["subset"].default
+        ways = {"": [told.subset], "on": [least], "off": [None], "both": [None, least]}[subset]
+        storms = [Storm.model_validate(told.model_dump() | {"routers": size, "subset": way})
+                  for size in sizes for way in ways]
+    except OSError as fault:
+        fail(f"{file}: {fault.strerror}")
+    except json5.BadFile as fault:
+        fail(str(fault))
+    except (ValueError, KeyError) as fault:
+        fail(f"{file}: {fault}")
+    rows = []
+    for number in numbers:
+        for one in storms:
+            row = stormreport.verdict(one, number, lambda text: typer.echo(text, err=True), keep)
+            rows.append(row)
+            if json_:
+                typer.echo(json.dumps(row))
+            else:
+                typer.echo(" ".join(f"{key} {value}" for key, value in row.items() if key not in ("course", "version")))
+            if not stormreport.good(row):
+                typer.echo(f"NOT GOOD: replay it by ./rp storm {file} --seeds {number} --routers {one.routers} "
+                           f"--subset {'on' if one.subset else 'off'}", err=True)
+    if out:
+        stormreport.written(rows, out)
+    if not all(map(stormreport.good, rows)):
+        raise typer.Exit(1)
+
+
 @app.command()
 def platform():
     """Run the router on the operators' platform, by PROXY_CONFIG (`python -m ramppulley platform` loads nothing else)."""
@@ -118,6 +164,37 @@
     typer.echo(f"{settings}: good")
 
 
+@app.command()
+def peers(settings: Path, port: Annotated[int, typer.Option(help="of the router's datagrams, where the settings say 0")] = 0,
+          json_: Annotated[bool, typer.Option("--json")] = False):
+    """Show a running router's view of the other routers, by its settings file."""
+    import json
+
+    from rich.console import Console
+    from rich.table import Table
+
+    from ramppulley.daemon import asking
+    orders = orders_of(settings)
+    told = orders.peers
+    if told is None:
+        fail(f"{settings}: peers: this router keeps to itself (add this part to have it talk to others)")
+    if not (port or told.port):
+        fail(f"{settings}: peers.port: any free one; say --port, the router's log line `peers ready` has it")
+    try:
+        key = (settings.parent / told.key_file).read_bytes().strip()
+        rows = asking.view(told.cluster, key, (told.host, port or told.port))
+    except (OSError, ValueError) as fault:
+        fail(f"{settings}: {getattr(fault, 'strerror', None) or fault}")
+    names = ("name", "state", "incarnation", "zone", "machine", "traffic", "host", "port", "for_s")
+    if json_:
+        typer.echo(json.dumps([dict(zip(names, row)) for row in rows]))
+        return
+    table = Table(*names)
+    for row in rows:
+        table.add_row(*map(str, row[:5]), f"~{2 ** row[5]}/s", *map(str, row[6:]))
+    Console(width=120).print(table)
+
+
 @app.command()
 def up(port: Annotated[int, typer.Option(help="0 = any free one")] = 8080,
        for_: Annotated[Optional[float], typer.Option("--for", help="seconds; else until told to stop")] = None):
--- a/ramppulley/cluster/members.py
+++ b/ramppulley/cluster/members.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from math import ceil, log, log10
 
+import msgspec
+
 from ramppulley.cluster.words import VERSION, News, Packet, Unreadable, packed, read, sized
 
 MS, S = 10, 10_000
@@ -44,6 +46,9 @@
     since: int                      # of its state
     until: int = 0                  # a suspicion's end
     accusers: frozenset = frozenset()
+    machine: str = ""
+    zone: str = ""
+    traffic: int = 0                # questions a second: the power of two
 
 
 class Budget:
@@ -93,9 +98,12 @@
 class Members:
     """One instance's part of the protocol."""
 
-    def __init__(self, name, address, chance, manners=None, now=0, incarnation=1):
+    def __init__(self, name, address, chance, manners=None, now=0, incarnation=1, machine="", zone="", highest=1 << 47):
         self.name, self.address, self.chance, self.manners = name, address, chance, manners or Manners()
-        self.incarnation, self.health, self.members, self.left = incarnation, 0, {}, False
+        self.machine, self.zone, self.traffic = machine, zone, 0
+        # `highest`: of the incarnations that a restart will not use again; the host raises it when that is durable
+        self.incarnation, self.highest, self.health, self.members, self.left = incarnation, highest, 0, {}, False
+        self.heard_of_self = 0          # the highest incarnation that others told of us
         self.spread, self.budget = Spread(), Budget(self.manners.per_second, self.manners.burst)
         self.out, self.events, self.count = [], [], Counter()
         self.round, self.number = [], chance.getrandbits(32)
@@ -120,6 +128,12 @@
             self._send(now, "leave", member.address)
         self.left = True
 
+    def told_traffic(self, traffic):
+        """Our own traffic, coarsely; told to all by a new incarnation where that may be used."""
+        if traffic != self.traffic and self.incarnation < self.highest:
+            self.traffic, self.incarnation = traffic, self.incarnation + 1
+            self._tell_self()
+
     def due(self):
         """When `tick` is wanted next."""
         times = [self.next_probe, self.next_sync, *[self.next_tell] * bool(self.spread.news)]
@@ -136,7 +150,7 @@
             self._send(now, "nack", helped["address"], helped["number"])
         self._probe_on(now)
         for member in [m for m in self.members.values() if m.state == "suspect" and now >= m.until]:
-            self._hear(now, News(member.name, *member.address, "dead", member.incarnation, self.name))
+            self._hear(now, msgspec.structs.replace(self._news(member), state="dead"))
         for member in [m for m in self.members.values() if RANK[m.state] >= 2 and
                        now - m.since >= self.manners.forget_after]:
             del self.members[member.name]
@@ -183,7 +197,7 @@
             member = self.members.get(probe["name"])
             if member and member.state == "alive" and member.incarnation <= probe["incarnation"]:
                 self.count["probe failed"] += 1
-                self._hear(now, News(member.name, *member.address, "suspect", member.incarnation, self.name))
+                self._hear(now, msgspec.structs.replace(self._news(member), state="suspect"))
         if self.probe is None and now >= self.next_probe:
             slower = 1 + self.health
             self.next_probe = now + manners.period * slower
@@ -268,10 +282,11 @@
         self._post(now, address, sized(Packet(VERSION, kind, self.name, 0, "", []), [self._own(), *others])[0])
 
     def _news(self, member):
-        return News(member.name, *member.address, member.state, member.incarnation, self.name)
+        return News(member.name, *member.address, member.state, member.incarnation, self.name, member.machine, member.zone,
+                    member.traffic)
 
     def _own(self, state="alive"):
-        return News(self.name, *self.address, state, self.incarnation, self.name)
+        return News(self.name, *self.address, state, self.incarnation, self.name, self.machine, self.zone, self.traffic)
 
     def _tell_self(self, state="alive"):
         self.spread.put(self._own(state))
@@ -292,6 +307,8 @@
         if new <= old or (old[1] >= 2 and news.incarnation <= member.incarnation and RANK[news.state] < 2):
             return None
         before, known = member.state, member.incarnation >= 0
+        if RANK[news.state] == 0 or not known:      # only its own words say what it is; others' may be of an older life
+            member.machine, member.zone, member.traffic = news.machine, news.zone, news.traffic
         member.address = (news.host, news.port)
         member.state, member.incarnation, member.since = news.state, news.incarnation, now
         member.accusers = frozenset()
@@ -312,9 +329,10 @@
         self.spread.put(news)
 
     def _hear_of_self(self, news):
+        self.heard_of_self = max(self.heard_of_self, news.incarnation)
         if news.state == "alive" and news.incarnation <= self.incarnation:
             return
-        if news.incarnation >= self.incarnation and not self.left:
+        if news.incarnation >= self.incarnation and not self.left and news.incarnation < self.highest:
             self.incarnation = news.incarnation + 1         # we are there: a higher incarnation outdoes what is said
             self.count["denied"] += 1
             self._healthier(-1)                             # Lifeguard: to be suspected says that we may be slow
--- /dev/null
+++ b/ramppulley/cluster/seal.py
@@ -0,0 +1,160 @@
+"""What makes a datagram one of our cluster's: who sent it, which one of its it is, and a tag by the cluster's one key. Pure.
+
+A datagram is a head (MessagePack), its payload, and a keyed BLAKE2b tag (RFC 7693) over all. The tag is looked at first, so
+what is forged costs one hash of a bounded text. Each life of a router numbers its datagrams; a window as in RFC 6479 passes
+each number once. All routers hold the one key: the tag keeps strangers out, not a member that lies about another.
+"""
+from collections import Counter, OrderedDict
+from hashlib import blake2b
+from hmac import compare_digest
+
+import msgspec
+
+from ramppulley.cluster.words import SAFE_SIZE
+
+VERSION = 1
+TAG, MARK = 16, b"RP"
+MOST = 1_400                    # bytes of a datagram with head and tag: under the Ethernet's
+KEY_LEAST, KEY_MOST = 16, 64    # bytes of a key
+WINDOW = 1 << 10                # numbers behind the newest that may still come
+SENDERS = 1_024                 # remembered; the one unheard for longest goes first
+AGAIN = 100_000                 # two lives of one name, heard in turn within this (10 s): they run at once
+
+CAUSES = ("too long", "too short", "not ours", "other version", "forged", "unreadable", "other cluster", "replayed", "own",
+          "own name")
+
+
+class Head(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """Who says it. `life`: drawn at each start, so that two processes of one name are told apart."""
+    cluster: str
+    sender: str
+    life: int
+    incarnation: int
+    number: int
+    kind: str                   # whose word it is: "members", or one of later machines'
+
+
+class Unfit(ValueError):
+    """A datagram that changes nothing; its text is one of CAUSES."""
+
+
+_decoder, _encoder = msgspec.msgpack.Decoder(Head), msgspec.msgpack.Encoder()
+
+
+class Sender:
+    """What is remembered of one life: the newest number and which of those behind it came."""
+    __slots__ = "life", "incarnation", "newest", "came", "heard"
+
+    def __init__(self, life, incarnation, now):
+        self.life, self.incarnation, self.newest, self.came, self.heard = life, incarnation, -1, 0, now
+
+    def fresh(self, number):
+        """Whether this number comes for the first time.
+
+        >>> sender = Sender(1, 1, 0)
+        >>> [sender.fresh(n) for n in (5, 5, 4, 2000, 4, 1999)]
+        [True, False, True, True, False, True]
+        """
+        if number > self.newest:
+            self.came = (self.came << min(number - self.newest, WINDOW) | 1) & ((1 << WINDOW) - 1)
+            self.newest = number
+            return True
+        behind = self.newest - number
+        if behind >= WINDOW or self.came >> behind & 1:
+            return False
+        self.came |= 1 << behind
+        return True
+
+
+class Seal:
+    """One router's way to write and read datagrams. `chance` draws its life; `incarnation` is read where it stands."""
+
+    def __init__(self, cluster, key, name, chance, incarnation=lambda: 0):
+        if not KEY_LEAST <= len(key) <= KEY_MOST:
+            raise ValueError(f"a key of {len(key)} bytes; {KEY_LEAST} to {KEY_MOST} are needed")
+        self.cluster, self.name, self.incarnation = cluster, name, incarnation
+        self.life, self.number = chance.getrandbits(62), 0
+        self.hash = blake2b(key=key, digest_size=TAG)
+        self.senders, self.ended, self.count, self.twice = OrderedDict(), {}, Counter(), []
+
+    def _tag(self, raw):
+        one = self.hash.copy()
+        one.update(raw)
+        return one.digest()
+
+    def seal(self, kind, payload):
+        """Raises ValueError for a payload over the size that is sent."""
+        if len(payload) > SAFE_SIZE:
+            raise ValueError(f"a payload of {len(payload)} bytes")
+        self.number += 1
+        head = _encoder.encode(Head(self.cluster, self.name, self.life, self.incarnation(), self.number, kind))
+        raw = MARK + bytes([VERSION, len(head)]) + head + payload
+        return raw + self._tag(raw)
+
+    def open(self, now, data):
+        """(head, payload); raises Unfit, and counts its cause."""
+        try:
+            return self._open(now, data)
+        except Unfit as fault:
+            self.count[str(fault)] += 1
+            raise
+
+    def _open(self, now, data):
+        if len(data) > MOST:
+            raise Unfit("too long")
+        if len(data) < len(MARK) + 2 + TAG:
+            raise Unfit("too short")
+        if data[:2] != MARK:
+            raise Unfit("not ours")
+        if data[2] != VERSION:
+            raise Unfit("other version")
+        raw, tag = data[:-TAG], data[-TAG:]
+        if not compare_digest(self._tag(raw), tag):
+            raise Unfit("forged")
+        head, payload = self._parts(raw[3:])
+        if head.cluster != self.cluster:
+            raise Unfit("other cluster")
+        if head.life == self.life:
+            raise Unfit("own")          # our own words come back
+        if head.sender == self.name:
+            if head.incarnation < self.incarnation():
+                raise Unfit("replayed")         # of a life of ours before this one
+            self.twice.append(head.sender)
+            raise Unfit("own name")
+        self._numbered(now, head)
+        return head, payload
+
+    def _parts(self, raw):
+        try:
+            head = _decoder.decode(raw[1:1 + raw[0]])
+        except (msgspec.MsgspecError, RecursionError) as fault:
+            raise Unfit("unreadable") from fault
+        if not 0 < len(head.sender) <= 64 or head.number < 0 or not 0 <= head.incarnation < 1 << 48:
+            raise Unfit("unreadable")
+        return head, raw[1 + raw[0]:]
+
+    def _numbered(self, now, head):
+        """Each number of a life once; a life that another one of its name replaced is heard no more."""
+        known = self.senders.get(head.sender)
+        if known is None or known.life != head.life:
+            if known is not None:
+                self._other_life(now, head, known)
+            known = self.senders[head.sender] = Sender(head.life, head.incarnation, now)
+            while len(self.senders) > SENDERS:
+                self.ended.pop(self.senders.popitem(last=False)[0], None)
+        self.senders.move_to_end(head.sender)
+        if not known.fresh(head.number):
+            raise Unfit("replayed")
+        known.heard, known.incarnation = now, max(known.incarnation, head.incarnation)
+
+    def _other_life(self, now, head, known):
+        """A restart is believed; lives heard in turn are two at once, which is told, and neither silences the other."""
+        before = self.ended.get(head.sender)
+        if before is not None and before[0] == head.life:
+            if now - known.heard > AGAIN or now - before[1] > AGAIN:
+                raise Unfit("replayed")         # an old life's words, long after it ended
+            self.twice.append(head.sender)
+        self.ended[head.sender] = known.life, now
+
+
+__all__ = ["CAUSES", "Head", "Seal", "Unfit"]
--- a/ramppulley/cluster/subsets.py
+++ b/ramppulley/cluster/subsets.py
@@ -37,6 +37,7 @@
     name: str
     zone: int
     traffic: float = 1.0
+    sure: bool = True           # False: others suspect it; it counts, but not as one that a worker may rely on
 
 
 def mark_of(name):
@@ -113,7 +114,8 @@
         self.used = {}
 
     def _wardens(self, place):
-        return set(sorted(self.marks, key=lambda name: lot(self.marks[name], place.mark))[:WARDENS])
+        sure = [peer.name for peer in self.peers if peer.sure]
+        return set(sorted(sure, key=lambda name: lot(self.marks[name], place.mark))[:WARDENS])
 
     def subset(self, peer):
         """Marks of the workers that this router uses: whole pairs, readers and writers of one cell together."""
--- a/ramppulley/cluster/words.py
+++ b/ramppulley/cluster/words.py
@@ -7,7 +7,8 @@
 import msgspec
 
 SAFE_SIZE = 1_200               # bytes of one datagram: passes any path of IPv6's least MTU with room for a signature
-VERSION = 1
+VERSION = 2
+TRAFFIC_MOST = 24               # powers of two
 Address = tuple[str, int]
 State = Literal["alive", "suspect", "dead", "left"]
 
@@ -20,6 +21,9 @@
     state: State
     incarnation: int
     by: str
+    machine: str = ""
+    zone: str = ""
+    traffic: int = 0            # questions a second, coarsely: the power of two
 
 
 class Packet(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
@@ -57,7 +61,8 @@
     if packet.version != VERSION:
         raise Unreadable(f"version {packet.version}")
     if any(not 0 < news.port < 65_536 or not 0 <= news.incarnation < 1 << 48 or not news.name or len(news.name) > 64
-           or len(news.host) > 64 for news in packet.news):
+           or max(len(news.host), len(news.machine), len(news.zone)) > 64 or not 0 <= news.traffic <= TRAFFIC_MOST
+           for news in packet.news):
         raise Unreadable("news out of bounds")
     return packet
 
--- /dev/null
+++ b/ramppulley/daemon/asking.py
@@ -0,0 +1,47 @@
+"""Asks a running router for its view of the cluster, by the key in its settings."""
+import socket
+import time
+from random import SystemRandom
+
+import msgspec
+
+from ramppulley.cluster import showing
+from ramppulley.cluster.seal import MOST, Seal, Unfit
+
+TRIES, EACH, ROWS_MOST = 4, 0.5, 100_000
+
+
+class Silent(OSError):
+    """No answer: no router there, or one with another key or cluster."""
+
+
+def view(cluster, key, address):
+    """All rows of a router's view (`daemon.cluster.Cluster.rows`); raises Silent or OSError."""
+    chance = SystemRandom()
+    seal, rows = Seal(cluster, key, f"~{chance.getrandbits(32):x}", chance), []
+    with socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.connect(address)
+        while True:
+            page = _page(sock, seal, len(rows))
+            rows += page.rows
+            if len(rows) >= page.total or not page.rows or len(rows) > ROWS_MOST:
+                return rows
+
+
+def _page(sock, seal, first):
+    for _ in range(TRIES):
+        sock.send(seal.seal("show", showing.ask(first)))
+        until = time.monotonic() + EACH
+        while (left := until - time.monotonic()) > 0:
+            sock.settimeout(left)
+            try:
+                _, payload = seal.open(0, sock.recv(MOST + 1))
+                page = showing.page(payload)
+            except (Unfit, msgspec.MsgspecError, TimeoutError):
+                continue
+            except ConnectionRefusedError:
+                time.sleep(left)        # it may be about to start
+                continue
+            if page.first == first:
+                return page
+    raise Silent("no answer: is a router with this key there?")
--- /dev/null
+++ b/ramppulley/daemon/cluster.py
@@ -0,0 +1,234 @@
+"""Joins the machines of `cluster/` to one router: sockets, snapshot, and the subset that the module is told of."""
+import asyncio
+from math import log2
+from random import SystemRandom
+from zlib import crc32
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from ramppulley.cluster import snapshot
+from ramppulley.cluster.members import Budget, Members
+from ramppulley.cluster.seal import KEY_LEAST, KEY_MOST, Seal
+from ramppulley.cluster.showing import BURST, PER_SECOND, Showing
+from ramppulley.cluster.subsets import Peer, Place, View, part_of
+from ramppulley.daemon.json5 import BadFile
+from ramppulley.peers.datagrams import Datagrams, bound
+from ramppulley.peers.disk import Disk
+from ramppulley.service.clock import TENTHS
+
+AGAIN = 0.5                     # seconds between two times that subsets are worked out
+TOLD_TWICE = 30 * TENTHS        # one line in this for a name that two routers have
+
+
+class Cluster:
+    """One router among others. `tell(boxes)` is called with those whose place in the subset changed.
+
+    Raises BadFile, with the field's name, before anything listens. `disk`, `socket` and `chance` are the machine's; the rig
+    has its own.
+    """
+
+    def __init__(self, orders, base, clock, fleet, taken, tell, log, disk=None, socket=bound, chance=None, where="settings"):
+        self.orders, self.told, self.base, self.clock, self.fleet = orders, orders.peers, base, clock, fleet
+        self.taken, self.tell, self.log, self.where, self.chance = taken, tell, log, where, chance or SystemRandom()
+        self.disk, self.make_socket = disk or Disk(), socket
+        self.key = self._key()
+        self.path = self.base / self.told.snapshot
+        self.kept = self._kept()
+        self.datagrams, self.members, self.seal, self.saving, self.working = None, None, None, None, None
+        self.changed, self.doubles, self.parts, self.uses, self.stale = True, {}, {}, {}, False
+        self.last_taken, self.last_at, self.stopped = 0, clock.now(), False
+
+    def _fault(self, field, text):
+        return BadFile(f"{self.where}: peers.{field}: {text}")
+
+    def _key(self):
+        path = self.base / self.told.key_file
+        try:
+            raw = self.disk.read(path, 4096)
+        except OSError as fault:
+            raise self._fault("key_file", f"{path}: {fault.strerror}") from fault
+        if raw is None:
+            raise self._fault("key_file", f"{path}: no such file")
+        if not KEY_LEAST <= len(raw.strip()) <= KEY_MOST:
+            raise self._fault("key_file", f"{path}: {len(raw.strip())} bytes; {KEY_LEAST} to {KEY_MOST} are needed")
+        return raw.strip()
+
+    def _kept(self):
+        """Sets a block of incarnations aside, above all that any life of this router may have used."""
+        try:
+            raw, highest = self.disk.read(self.path, snapshot.MOST), 0
+            if raw is None:
+                self.log.warning("no snapshot: incarnations begin anew", file=str(self.path))
+            else:
+                try:
+                    highest = snapshot.read(raw, self.told.cluster, self.orders.name).highest
+                except snapshot.Torn as fault:
+                    self.log.warning("snapshot not usable: incarnations begin anew", file=str(self.path), fault=str(fault))
+                except snapshot.Alien as fault:
+                    raise self._fault("snapshot", f"{self.path}: {fault}") from fault
+            kept = snapshot.Kept(self.told.cluster, self.orders.name, highest + snapshot.BLOCK)
+            self.disk.replace(self.path, snapshot.packed(kept))
+        except OSError as fault:
+            raise self._fault("snapshot", f"{self.path}: {fault.strerror}") from fault
+        self.first = highest + 1
+        return kept
+
+    def start(self):
+        """Raises OSError where the port is taken."""
+        told = self.told
+        sock = self.make_socket(told.host, told.port)
+        self.seal = Seal(told.cluster, self.key, self.orders.name, self.chance, lambda: self.members.incarnation)
+        self.datagrams = Datagrams(self.seal, self.clock, sock, self._turned)
+        now = self.clock.now()
+        self.members = Members(self.orders.name, self.datagrams.address, self.chance, None, now, self.first, told.machine,
+                               self.orders.zone, self.kept.highest)
+        self.datagrams.machines = {"members": self.members, "show": Showing(self.rows, Budget(PER_SECOND, BURST))}
+        self.members.join(now, told.addresses())
+        self.datagrams.start()
+        self.working = asyncio.get_running_loop().create_task(self._work())
+        self.log.info("peers ready", cluster=told.cluster, address=self.datagrams.address, incarnation=self.first)
+        return self
+
+    # What the machines say
+    def _turned(self):
+        now = self.clock.now()
+        for what, name in self.members.events:
+            self.changed = True
+            self.log.info("peer", what=what, name=name, count=len(self.members.alive()) + 1)
+        self.members.events.clear()
+        for name in self.seal.twice:
+            if now - self.doubles.get(name, -TOLD_TWICE) >= TOLD_TWICE:
+                mine = "ours: another router runs under it" if name == self.orders.name else "two routers run under it"
+                self.log.error("a name twice", name=name, why=mine)
+                self.doubles[name] = now
+        self.seal.twice.clear()
+        if self.members.heard_of_self > self.kept.highest and not self.stale:
+            self.stale = True
+            self.log.error("the snapshot is older than what others remember of us", file=str(self.path),
+                           kept=self.kept.highest, heard=self.members.heard_of_self)
+        if self.members.incarnation > self.kept.highest - snapshot.BLOCK // 2 and self.saving is None:
+            self.saving = asyncio.get_running_loop().create_task(self._save())
+
+    async def _save(self):
+        """More incarnations may be used once it is durable that they were."""
+        highest = max(self.members.heard_of_self, self.kept.highest) + snapshot.BLOCK
+        kept = snapshot.Kept(self.told.cluster, self.orders.name, highest)
+        try:
+            await asyncio.to_thread(self.disk.replace, self.path, snapshot.packed(kept))
+            self.kept, self.members.highest = kept, highest
+        except OSError as fault:
+            self.log.error("snapshot not written", file=str(self.path), fault=fault.strerror)
+            await asyncio.sleep(1.0)
+        self.saving = None
+
+    # Subsets
+    def listed(self):
+        """The list of workers changed."""
+        self.changed = True
+
+    async def _work(self):
+        while True:
+            await asyncio.sleep(AGAIN)
+            self._count()
+            if self.changed and self.told.subset is not None:
+                self.changed = False
+                try:
+                    found = await asyncio.to_thread(self._found, *self._seen())     # not on the loop: streams go on
+                    self._apply(found)
+                except Exception:       # the whole list stays usable whatever happens here
+                    self.log.exception("subsets not worked out")
+
+    def _count(self):
+        """Our own traffic as a power of two, told anew where it moved by more than the half of a step."""
+        now, taken = self.clock.now(), self.taken()
+        if now - self.last_at < 5 * TENTHS:
+            return
+        rate = (taken - self.last_taken) * TENTHS / (now - self.last_at)
+        self.last_taken, self.last_at = taken, now
+        level = log2(max(1.0, rate))
+        if abs(level - self.members.traffic) > 0.75:
+            self.members.told_traffic(round(level))
+            self.changed = True
+            self.datagrams.turn()
+
+    def _seen(self):
+        """(ourselves, all routers, each pool's workers) as subsets see them."""
+        own = Peer(self.orders.name, crc32(self.orders.zone.encode()), 2.0 ** self.members.traffic)
+        peers = [own] + [Peer(m.name, crc32(m.zone.encode()), 2.0 ** m.traffic, m.state == "alive")
+                         for m in self.members.members.values() if m.state in ("alive", "suspect")]
+        pools = {}
+        for name, box in self.fleet.boxes.items():
+            entry = self.fleet.entries[name]
+            if box.state == "ready":
+                pools.setdefault(entry.pool, []).append(Place(box.mark, box.role, box.cell, box.zone, entry.weight))
+        return own, peers, pools, dict(self.parts)
+
+    def _found(self, own, peers, pools, before):
+        """{pool: (part, {mark: weight within what is used})}, empty where the whole list is used."""
+        found = {}
+        for pool, places in pools.items():
+            part = part_of(len(peers), len(places), self.told.subset.workers_least, before.get(pool, 1.0))
+            weights = {}
+            if part < 1:
+                row = View(peers, places, part).shares()[own.name]
+                for writes in (False, True):
+                    some = [p for p in places if p.mark in row and (p.role != "read") == writes]
+                    whole, shares = sum(p.weight for p in some), sum(row[p.mark] for p in some) or 1.0
+                    weights |= {p.mark: max(1e-3, row[p.mark] / shares * whole) for p in some}
+            found[pool] = part, weights
+        return found
+
+    def _apply(self, found):
+        changed = []
+        for name, box in self.fleet.boxes.items():
+            entry = self.fleet.entries[name]
+            part, weights = found.get(entry.pool, (1.0, {}))
+            if box.state != "ready":
+                continue
+            usual, weight = not weights or box.mark in weights, weights.get(box.mark, entry.weight)
+            if (usual, weight) != (box.usual, box.weight):
+                box.usual, box.weight = usual, weight
+                changed.append((entry.pool, box))
+        for pool, (part, weights) in found.items():
+            if part != self.parts.get(pool, 1.0):
+                self.log.info("subset", pool=pool, part=part, workers=len(weights) or "all")
+            self.parts[pool], self.uses[pool] = part, len(weights)
+        if changed:
+            self.tell(changed)
+
+    # What is shown
+    def rows(self):
+        """[name, state, incarnation, zone, machine, traffic, host, port, seconds in this state]; ourselves first."""
+        now, members = self.clock.now(), self.members
+        own = [self.orders.name, "self", members.incarnation, self.orders.zone, self.told.machine, members.traffic,
+               *self.datagrams.address, 0]
+        return [own] + [[m.name, m.state + " (twice)" * (now - self.doubles.get(m.name, -TOLD_TWICE) < TOLD_TWICE),
+                         m.incarnation, m.zone, m.machine, m.traffic, *m.address, (now - m.since) // TENTHS]
+                        for m in sorted(members.members.values(), key=lambda m: m.name)]
+
+    def collect(self):
+        """Prometheus' collector."""
+        peers = GaugeMetricFamily("ramppulley_peers", "Other routers by state.", labels=["state"])
+        states = [m.state for m in self.members.members.values()]
+        for state in ("alive", "suspect", "dead", "left"):
+            peers.add_metric([state], states.count(state))
+        unfit = CounterMetricFamily("ramppulley_datagrams_unfit", "Datagrams that changed nothing.", labels=["cause"])
+        for cause, count in {**self.seal.count, **self.members.count}.items():
+            unfit.add_metric([cause], count)
+        sent = CounterMetricFamily("ramppulley_datagrams_sent", "Datagrams to other routers.", value=self.datagrams.sent)
+        size = CounterMetricFamily("ramppulley_datagram_bytes", "Bytes of those.", value=self.datagrams.bytes)
+        uses = GaugeMetricFamily("ramppulley_subset", "Workers used ordinarily; 0 = all.", labels=["pool"])
+        for pool, count in self.uses.items():
+            uses.add_metric([pool], count)
+        yield from (peers, unfit, sent, size, uses)
+
+    async def stop(self):
+        """Says goodbye, so that nobody has to suspect it."""
+        if self.working is None:
+            return
+        for task in filter(None, (self.working, self.saving)):
+            task.cancel()
+        await asyncio.gather(*filter(None, (self.working, self.saving)), return_exceptions=True)
+        self.members.leave(self.clock.now())
+        self.datagrams.turn()
+        self.datagrams.close()
--- a/ramppulley/daemon/daemon.py
+++ b/ramppulley/daemon/daemon.py
@@ -37,14 +37,19 @@
 class Daemon:
     """One router. `make` builds the decision module of a pool; baselines and broken ones come in here."""
 
-    def __init__(self, orders, log, base=".", make=Router):
+    def __init__(self, orders, log, base=".", make=Router, clock=LoopClock, **edges):
         self.orders, self.log, self.base, self.make = orders, log, Path(base), make
+        self.make_clock, self.edges, self.cluster = clock, edges, None      # `edges`: other ones than the machine's
         self.fleet, self.front, self.recorders = Fleet(), None, []
 
     async def start(self):
         """Raises OSError (port taken, no such file) or BadFile before anything runs."""
         orders, loop = self.orders, asyncio.get_running_loop()
-        self.clock, estimator = LoopClock(loop), Estimator()
+        self.clock, estimator = self.make_clock(loop), Estimator()
+        if orders.peers is not None:
+            from ramppulley.daemon.cluster import Cluster
+            self.cluster = Cluster(orders, self.base, self.clock, self.fleet, lambda: sum(
+                core.taken for core in self.board.cores.values()), self._tell, self.log, **self.edges)
         self.book = Book(self.base / orders.record if orders.record else None)
         self.engines = OpenAIEngines(self.log, frozenset(orders.engines.full_statuses), orders.engines.connections,
                                      orders.engines.idle_s, orders.engines.connect_s, orders.engines.load)
@@ -61,6 +66,9 @@
         self.watcher = Watcher(self.base / orders.workers.file, json5.read, self._listed, self.log,
                                orders.workers.every_s)
         self.watcher.look()
+        if self.cluster is not None:
+            self.cluster.start()
+            self.board.registry.register(self.cluster)
         listen = orders.listen
         self.front = HttpFront(self.board, self.log, host=listen.host, port=listen.port,
                                body_most=listen.body_most_bytes, connections=listen.connections, idle=listen.idle_s,
@@ -94,12 +102,17 @@
         if unknown:
             self.log.warning("workers of pools that the orders do not name are passed over", pools=unknown)
         changed = self.fleet.update([e for e in entries if e.pool in self.orders.pools], self.clock.now(), time.time())
+        for _, box, address in changed:
+            self.engines.know(box, address)
+        self._tell([(pool, box) for pool, box, _ in changed])
+        if self.cluster is not None:
+            self.cluster.listed()
+
+    def _tell(self, changed):
         for pool, core in self.board.cores.items():
-            boxes = [(box, address) for where, box, address in changed if where == pool]
-            for box, address in boxes:
-                self.engines.know(box, address)
+            boxes = [box for where, box in changed if where == pool]
             if boxes:
-                core.listed([box for box, _ in boxes])
+                core.listed(boxes)
 
     async def _tidy(self):
         while True:
@@ -112,6 +125,8 @@
             return
         self.log.info("router stops", pending=self.board.pending())
         await self.front.stop(self.orders.stop_within_s)
+        if self.cluster is not None:
+            await self.cluster.stop()
         self._tidying.cancel()
         await asyncio.gather(self._tidying, return_exceptions=True)
         await self.watcher.stop()
--- a/ramppulley/daemon/orders.py
+++ b/ramppulley/daemon/orders.py
@@ -102,6 +102,41 @@
     keys_needed: bool = False
 
 
+class Subset(Part):
+    """Workers that the router uses ordinarily, where it knows of others."""
+    workers_least: int = Field(12, ge=4)        # two pairs
+
+
+class Peers(Part):
+    """Other routers; off where this part is missing."""
+    cluster: str = Field(pattern=r"^[a-z][a-z0-9-]{0,31}$")
+    key_file: str                       # 16 to 64 bytes, white space at the ends aside; the same file's text at all routers
+    snapshot: str                       # file in which the router keeps what a restart must not forget
+    host: Literal["127.0.0.1", "::1"] = "127.0.0.1"
+    port: int = Field(0, ge=0, le=65535)
+    seeds: list[str] = []               # HOST:PORT, or CLUSTER@HOST:PORT
+    machine: str = Field("", max_length=64)
+    subset: Subset | None = None
+
+    @model_validator(mode="after")
+    def _seeds(self):
+        self.addresses()
+        return self
+
+    def addresses(self):
+        """Of the seeds; raises ValueError."""
+        found = []
+        for seed in self.seeds:
+            cluster, _, where = seed.rpartition("@")
+            host, _, port = where.rpartition(":")
+            if cluster and cluster != self.cluster:
+                raise ValueError(f"seeds: {seed!r} is of cluster {cluster!r}, this is {self.cluster!r}")
+            if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+                raise ValueError(f"seeds: {seed!r} must look like HOST:PORT or CLUSTER@HOST:PORT")
+            found.append((host.strip("[]"), int(port)))
+        return found
+
+
 class Orders(Part):
     """The whole file."""
     name: str = Field("r0", pattern=r"^[a-z][a-z0-9]{0,15}$")
@@ -117,6 +152,7 @@
     engines: Engines = Engines()
     rules: Lawbook = Lawbook()
     permits: Permits = Permits()
+    peers: Peers | None = None
     questions_most: int = Field(20_000, ge=1)
     stop_within_s: float = Field(10.0, ge=0)
     record: str | None = None
--- a/ramppulley/load/run.py
+++ b/ramppulley/load/run.py
@@ -65,6 +65,7 @@
 
     def __init__(self, orders, folder, log, make):
         self.orders, self.folder, self.log, self.make = orders, folder, log, make
+        self.number = int(orders["name"][1:])
 
     async def start(self):
         self.daemon = await Daemon(demo_orders(**self.orders), self.log, self.folder, self.make).start()
@@ -89,7 +90,7 @@
     """A router in a process of its own, on one port through all its restarts."""
 
     def __init__(self, orders, folder, policy="module"):
-        self.reserved = reserved()
+        self.reserved, self.number = reserved(), int(orders["name"][1:])
         self.port = self.reserved.getsockname()[1]
         self.name, self.folder, self.policy, self.killed_at = orders["name"], Path(folder), policy, []
         self.path = self.folder / f"{self.name}.json5"
@@ -129,7 +130,7 @@
 
 async def one(arrival, routers, out):
     """One client's question and what it saw."""
-    number = min(int(arrival.router * len(routers)), len(routers) - 1)
+    router = routers[min(int(arrival.router * len(routers)), len(routers) - 1)]
     path, body = body_of(arrival, {"chat": CHAT, "vectors": VECTORS})
     case = USE_CASES[arrival.use_case]
     tokens = tokens_of(prompt_text(body)) if arrival.kind == "chat" else sum(
@@ -143,9 +144,9 @@
         headers["authorization"] = f"Bearer sk-{arrival.account}"
     asked = Asked(arrival.name, arrival.kind, arrival.use_case, case.get("effect", "pure"), int(time.monotonic() * S),
                   int(patience * S), int((case["promised_s"] + case.get("promised_s_per_k", 0) * tokens / 1000) * S),
-                  int(case.get("pace_s", 0.06) * S), case.get("benefit", 1.0), arrival.account, number)
+                  int(case.get("pace_s", 0.06) * S), case.get("benefit", 1.0), arrival.account, router.number)
     out.append(asked)
-    reply = await ask("127.0.0.1", routers[number].port, path, body, headers,
+    reply = await ask("127.0.0.1", router.port, path, body, headers,
                       patience=min(patience, arrival.leaves or patience), after_first=6.0)
     asked.ended, asked.status = int(reply.ended * S), reply.status
     asked.first = int(reply.first * S) if reply.first is not None else None
@@ -200,28 +201,45 @@
         for fault in await asyncio.gather(*tasks, return_exceptions=True):
             if isinstance(fault, BaseException):
                 raise fault
-        limit = loop.time() + 1.0       # what is held is let go, or it is a breach
-        while loop.time() < limit and fleet.open_held():
-            await asyncio.sleep(0.02)
+        await let_go(fleet)
     finally:
         gc.unfreeze()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*(r.stop() for r in routers), return_exceptions=True)
         await beat.stop()
-        end_held = [h for h in fleet.held if h.until is None]
-        await fleet.stop()
-        for held in end_held:
-            held.until, held.how = None, ""
+        await ended(fleet)
         if holder:
             holder.cleanup()
-    law = demo_orders(**orders[0]).rules
+    return gathered(asked, fleet, routers, beat, orders[0])
+
+
+async def let_go(fleet, within=1.0):
+    """What is held is let go in this time, or it is a breach."""
+    loop = asyncio.get_running_loop()
+    limit = loop.time() + within
+    while loop.time() < limit and fleet.open_held():
+        await asyncio.sleep(0.02)
+
+
+async def ended(fleet):
+    """Stops the stand-ins; what was still held then was never let go."""
+    end_held = [h for h in fleet.held if h.until is None]
+    await fleet.stop()
+    for held in end_held:
+        held.until, held.how = None, ""
+
+
+def gathered(asked, fleet, routers, beat, orders):
+    """The Evidence of a run that has ended. `orders`: of any of its routers."""
+    law = demo_orders(**orders).rules
     kinds = {n: s.engine.kind for n, s in fleet.standins.items()}
     return Evidence(
         asked, fleet.ledger, fleet.held, fleet.listed_at, fleet.births,
         {n: (s.engine.cell, s.engine.zone) for n, s in fleet.standins.items()},
-        [(n, at) for n, r in enumerate(routers) for at in getattr(r, "killed_at", ())],
+        [(r.number, at) for r in routers for at in getattr(r, "killed_at", ())],
         {n: (k.cold_from, k.cold_for, k.fall_multiple, k.fall_window) for n, k in kinds.items()},
         {name: (c["group"], int(c["window_s"] * S)) for name, c in USE_CASES.items() if "window_s" in c},
-        [(n, a, b if b is not None else 1 << 62) for n, s in fleet.standins.items() for a, b in s.unreachable], beat.stood,
+        [(n, a, b if b is not None else 1 << 62) for n, s in fleet.standins.items() for a, b in s.unreachable],
+        [(r.number, a, b) for r in routers for a, b in getattr(r, "away", ())], beat.stood,
         int(law.drain_grace_s * S), int(law.let_go_within_s * S), 4)
--- /dev/null
+++ b/ramppulley/load/stormreport.py
@@ -0,0 +1,102 @@
+"""What a storm showed, as data, table and chart."""
+import csv
+import json
+
+import uvloop
+
+from ramppulley.check import fleetwide, rules
+from ramppulley.load.stormrun import storm
+from ramppulley.service.record import VERSION
+
+SPAN = 1.0                      # seconds of service's course
+
+
+def course(evidence, start, length):
+    """Service in each second of the storm, None where nothing was asked."""
+    found = []
+    for second in range(int(length / SPAN)):
+        some = [a for a in evidence.asked if a.how != "left" and
+                start + second * SPAN * 10_000 <= a.sent < start + (second + 1) * SPAN * 10_000]
+        found.append(round(sum(a.benefit for a in some if a.in_time()) / sum(a.benefit for a in some), 3) if some else None)
+    return found
+
+
+def noticed(playing, logs):
+    """(seconds till the first and till the last router held a killed one for dead, false ends), by the routers' logs."""
+    ends = {}
+    for what, name, at in playing.events:
+        ends.setdefault(name, []).append((what, at))
+    first, last, wrong = [], [], 0
+    dead = [(at, router, told["name"]) for at, router, event, told in logs
+            if event == "peer" and told.get("what") == "dead"]
+    for name, some in ends.items():
+        for what, when in some:
+            waits = [at - when for at, _, about in dead if about == name and 0 <= at - when < 60]
+            if what == "killed" and waits:
+                first.append(min(waits))
+                last.append(max(waits))
+    over = playing.began + playing.took     # what the end of the storm itself ends is no mistake
+    for at, _, name in dead:
+        if playing.began <= at < over and not any(when <= at < when + 60 for _, when in ends.get(name, ())):
+            wrong += 1
+    return max(first, default=None), max(last, default=None), wrong
+
+
+def verdict(told, seed, say=lambda text: None, folder=None):
+    """Everything that is told of one storm, as plain data."""
+    one = told.model_copy(update={"seed": seed})
+    evidence, missed, playing, logs = uvloop.run(storm(one, say, folder))
+    table = rules.table(evidence)
+    roles = {n: s.engine.kind.role for n, s in playing.fleet.standins.items() if s.engine.kind.role != "pool"}
+    wanted = sum(a.benefit for a in evidence.asked if a.how != "left")
+    mean, most = fleetwide.spread(evidence, roles)
+    routers = [r for r in playing.routers.values()]
+    first, last, wrong = noticed(playing, logs) if told.peers else (None, None, 0)
+    cpu = sum(r.cpu - playing.cpu_before.get(r.name, 0.0) for r in routers)
+    start = min((a.sent for a in evidence.asked), default=0)
+    names = [r.name for r in routers if r.number < 1000]
+    return {
+        "storm": told.name, "seed": seed, "version": VERSION, "routers": told.routers, "peers": told.peers,
+        "subset": told.subset if told.peers else None,
+        "service": round(rules.service(evidence) * wanted / ((wanted + missed) or 1), 4),
+        "breaches": [str(b) for b in rules.breaches(evidence)],
+        "left_out": [str(b) for b in fleetwide.left_out(evidence, roles)],
+        "lost": sum(row["lost"] for row in table.values()),
+        "unreached": sum(r["unreached"] for r in table.values()) + missed,
+        "turned_back": sum(row["turned_back"] for row in table.values()), "late": sum(row["late"] for row in table.values()),
+        "uneven": fleetwide.unevenness(evidence, roles), "routers_a_worker": mean, "routers_a_worker_most": most,
+        "router_cpu_ms_a_question": round(cpu * 1000 / max(1, len(evidence.asked)), 2),
+        "dead_first_s": first and round(first, 2), "dead_last_s": last and round(last, 2), "false_ends": wrong,
+        "bytes_s": round(sum(playing.bytes.get(n, 0) for n in names) / playing.took / len(names)),
+        "datagrams_s": round(sum(playing.count.get(n, 0) for n in names) / playing.took / len(names), 1),
+        "bytes_most_s": round(max((playing.bytes.get(n, 0) for n in names), default=0) / playing.took),
+        "stood_s": round(sum(b - a for a, b in evidence.stood) / 10_000, 2),
+        "twice": sum(event == "a name twice" for _, _, event, _ in logs),
+        "faults": sum(event in ("module fault", "subsets not worked out") for _, _, event, _ in logs),
+        "course": course(evidence, start, told.length_s)}
+
+
+def good(row):
+    return not (row["breaches"] or row["left_out"] or row["lost"] or row["faults"])
+
+
+def written(rows, folder):
+    """storm.json, storm.csv and storm.svg."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "storm.json").write_text(json.dumps(rows, indent=1))
+    flat = [{key: len(value) if key in ("breaches", "left_out") else json.dumps(value) if isinstance(value, (dict, list))
+             else value for key, value in row.items() if key != "course"} for row in rows]
+    with open(folder / "storm.csv", "w", newline="") as file:
+        table = csv.DictWriter(file, flat[0])
+        table.writeheader()
+        table.writerows(flat)
+    import matplotlib
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for row in rows:
+        axes.plot(row["course"], label=f"{row['storm']}, {row['routers']} routers, "
+                  f"{'subset ' + str(row['subset']) if row['subset'] else 'whole list'}, seed {row['seed']}", linewidth=1)
+    axes.set(xlabel="seconds", ylabel="service (simulated engines)", ylim=(0, 1.05))
+    axes.legend(fontsize=6)
+    figure.savefig(folder / "storm.svg")
--- /dev/null
+++ b/ramppulley/load/stormrun.py
@@ -0,0 +1,326 @@
+"""Plays a storm on loopback: router processes, a relay between them, stand-ins, clients; keeps what crossed the sockets."""
+import asyncio
+import gc
+import json
+import os
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+from ramppulley.load.beat import Beat
+from ramppulley.load.day import arrivals
+from ramppulley.load.run import ProcessRouter, ended, fleet_of, gathered, let_go, one, orders_of
+from ramppulley.load.storm import LINKS, drawn, link_of, pairs
+from ramppulley.load.troubles import Troubles
+from ramppulley.standin.links import Links, Relay
+
+S = 10_000
+UDP_PORTS = range(20_000, 32_000)       # under those that the kernel gives out, so that nobody else is given them
+START_WITHIN = 90.0                     # of 64 at once, on a machine that is busy
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def udp_port(taken, chance):
+    """A port for datagrams that nobody has."""
+    while True:
+        port = chance.choice(UDP_PORTS)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken:
+            taken.add(port)
+            return port
+
+
+class StormRouter(ProcessRouter):
+    """A router process of the rig: its datagrams pass the relay, its clock and disk are the rig's to spoil."""
+
+    def __init__(self, storm, number, folder, port, seeds, relay, name=None, key="key"):
+        name = name or f"r{number}"
+        orders = orders_of(storm, number, name=name, routers=storm.most(), log="json")
+        if storm.peers:
+            orders["peers"] = {"cluster": "storm", "key_file": str(folder / key), "snapshot": f"{name}.snap", "port": port,
+                               "seeds": seeds, "machine": f"m{number}"}
+            if storm.subset:
+                orders["peers"]["subset"] = {"workers_least": storm.subset}
+        super().__init__(orders, folder)
+        self.number, self.relay, self.seed, self.udp, self.fault = number, relay, storm.seed, port, ""
+        self.away, self.process, self.cpu, self.told, self.ends = [], None, 0.0, 0, []
+
+    async def start(self):
+        log = open(self.folder / f"{self.name}.log", "ab")  # noqa: ASYNC230
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ramppulley.standin.entry", str(self.path), str(self.relay), f"{self.seed} {self.name}",
+            self.fault, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log,
+            env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])})
+        log.close()
+        async with asyncio.timeout(START_WITHIN):
+            line = await self.process.stdout.readline()
+        if not line.startswith(b"ready"):
+            raise RuntimeError(f"{self.name} did not start: {(self.folder / f'{self.name}.log').read_text()[-2000:]}")
+
+    def alive(self):
+        return self.process is not None and self.process.returncode is None
+
+    def count_cpu(self):
+        """Its processor time so far, as the system counts it."""
+        try:
+            fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        except (OSError, AttributeError):
+            return
+        self.cpu += (int(fields[11]) + int(fields[12])) / TICKS
+
+    async def kill(self):
+        self.count_cpu()
+        self.ends.append(time.time())
+        await super().kill()
+
+    async def stop(self):
+        self.count_cpu()
+        self.ends.append(time.time())
+        await super().stop()
+
+    def tell(self, **order):
+        if self.alive():
+            self.process.stdin.write(json.dumps(order).encode() + b"\n")
+
+    async def pause(self, span):
+        at = int(time.monotonic() * S)
+        self.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        if self.alive():
+            self.process.send_signal(signal.SIGCONT)
+        self.away.append((at, int(time.monotonic() * S)))
+
+
+class Front:
+    """What the clients know of the routers: a dead one is noticed late, a new one when it is ready."""
+
+    def __init__(self, notices, uneven):
+        self.notices, self.uneven, self.serving = notices, uneven, []
+
+    def up(self, router):
+        if router not in self.serving:
+            self.serving = sorted([*self.serving, router], key=lambda r: r.number)
+
+    def down(self, router):
+        self.serving = [r for r in self.serving if r is not router]
+
+    def gone(self, router):
+        asyncio.get_running_loop().call_later(self.notices, lambda: router.alive() or self.down(router))
+
+    def place(self, drawn):
+        """Where in the list a draw from 0 to 1 falls, the first router being `uneven` times as likely."""
+        if self.uneven == 1 or not self.serving or self.serving[0].number:
+            return drawn
+        whole = len(self.serving) - 1 + self.uneven
+        first, rest = self.uneven / whole, 1 / len(self.serving)
+        return drawn / first * rest if drawn < first else rest + (drawn - first) / (1 - first) * (1 - rest)
+
+
+class Playing:
+    """One storm under way."""
+
+    def __init__(self, storm, folder, say):
+        self.storm, self.folder, self.say, self.routers, self.front = storm, Path(folder), say, {}, None
+        self.links = Links(Random(f"{storm.seed} links"))
+        self.relay = Relay(self.links, lambda: int(time.monotonic() * S))
+        self.chance, self.ports, self.lasting, self.events = Random(os.getpid()), set(), set(), []
+
+    def make(self, number, name=None):
+        port = udp_port(self.ports, self.chance)
+        seeds = [f"storm@127.0.0.1:{r.udp}" for r in list(self.routers.values())[:3]]
+        router = StormRouter(self.storm, number, self.folder, port, seeds, self.relay.port, name)
+        self.relay.names[port] = router.name if name is None else f"{name}x"
+        self.routers[router.name if name is None else f"{name}x"] = router
+        return router
+
+    async def begin(self, router):
+        await router.start()
+        if router.number < 1000:
+            self.front.up(router)
+
+    async def play(self):
+        storm, loop, asked, tasks = self.storm, asyncio.get_running_loop(), [], []
+        (self.folder / "key").write_text(f"{Random(f'{storm.seed} key').getrandbits(256):064x}")
+        self.relay.start(loop)
+        self.front = Front(storm.notices_s, storm.uneven)
+        plan = arrivals(storm)
+        fleet = self.fleet = await fleet_of(storm, self.folder / "workers.json5").start()
+        fleet.lag = storm.fleet.list_lag_s
+        for number in range(storm.routers):
+            self.make(number)
+        beat = Beat()
+        gc.collect()
+        gc.freeze()
+        try:
+            await asyncio.gather(*(self.begin(r) for r in list(self.routers.values())))
+            await asyncio.sleep(storm.warm_s if storm.peers else 0.0)
+            beat.start()
+            troubles, start = Troubles(fleet, storm.seed), loop.time() + 0.1
+            self.began = time.time() + 0.1
+            self.cpu_before = {r.name: self._cpu(r) for r in self.routers.values()}
+            before = dict(self.links.bytes), dict(self.links.count)
+            self.say(f"{storm.name}: seed {storm.seed}, {len(plan)} questions, {storm.length_s:g} s, "
+                     f"{storm.routers} routers, {len(fleet.standins)} stand-ins")
+
+            async def at(when, act, *given):
+                await asyncio.sleep(max(0.0, start + when - loop.time()))
+                await act(*given)
+            tasks += [loop.create_task(at(t.at_s, troubles.play, t, self.say)) for t in storm.troubles]
+            tasks += [loop.create_task(at(f.at_s, self._fault, n, f)) for n, f in enumerate(storm.faults)]
+            for arrival in plan:
+                await asyncio.sleep(max(0.0, start + arrival.at - loop.time()))
+                if self.front.serving:
+                    tasks.append(loop.create_task(one(replace(
+                        arrival, router=self.front.place(arrival.router)), self.front.serving, asked)))
+            for fault in await asyncio.gather(*tasks, return_exceptions=True):
+                if isinstance(fault, BaseException):
+                    raise fault
+            await let_go(fleet)
+            self.took = loop.time() - start
+            self.bytes = {name: count - before[0].get(name, 0) for name, count in self.links.bytes.items()}
+            self.count = {name: count - before[1].get(name, 0) for name, count in self.links.count.items()}
+        finally:
+            gc.unfreeze()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*(r.stop() for r in self.routers.values() if r.process), return_exceptions=True)
+            await beat.stop()
+            self.relay.stop()
+            await ended(fleet)
+        evidence = gathered(asked, fleet, [*self.routers.values(), *self.lasting], beat, orders_of(storm))
+        missed = len(plan) - len(asked)
+        return evidence, missed
+
+    def _cpu(self, router):
+        before, router.cpu = router.cpu, 0.0
+        router.count_cpu()
+        now, router.cpu = router.cpu, before
+        return now
+
+    # Faults
+    async def _fault(self, number, fault):
+        if fault.what in LINKS:
+            names, (on, off) = list(self.relay.names.values()), link_of(fault)
+            hit = pairs(fault, names)
+            self.say(f"  {fault.at_s:5.1f} s  {fault.what} {fault.who} to {fault.to}: {len(hit)} links")
+            for pair in hit:
+                self.relay.change(pair, **on)
+            await asyncio.sleep(fault.for_s)
+            for pair in hit:
+                self.relay.change(pair, **off)
+            return
+        names = drawn(self.storm, number, [r.name for n, r in self.routers.items() if r.alive() and not n.endswith("x")])
+        self.say(f"  {fault.at_s:5.1f} s  {fault.what} {' '.join(names) if fault.what != 'add' else fault.count}")
+        hit = [self.routers[name] for name in names]
+        await getattr(self, "_" + fault.what)(fault, hit)
+
+    async def _kill(self, fault, hit, lose=False):
+        self.events += [("killed", r.name, time.time()) for r in hit]
+        for router in hit:
+            self.front.gone(router)
+        await asyncio.gather(*(r.kill() for r in hit))
+        for router in hit if lose else ():
+            shutil.rmtree(self.folder / f"{router.name}.snap", ignore_errors=True)
+            (self.folder / f"{router.name}.snap").unlink(missing_ok=True)
+        if fault.for_s:
+            await asyncio.sleep(fault.for_s)
+            await asyncio.gather(*(self.begin(r) for r in hit))
+
+    async def _lose(self, fault, hit):
+        """The machine with its disk: nothing of it is left."""
+        await self._kill(fault, hit, True)
+
+    async def _pause(self, fault, hit):
+        self.events += [("paused", r.name, time.time()) for r in hit]
+        await asyncio.gather(*(r.pause(fault.for_s) for r in hit))
+
+    async def _end(self, fault, hit):
+        """Planned: the front lets it go first."""
+        for router in hit:
+            self.front.down(router)
+        await asyncio.sleep(0.2)
+        await asyncio.gather(*(self._stopped(r) for r in hit))
+        if fault.for_s:
+            await asyncio.sleep(fault.for_s)
+            await asyncio.gather(*(self.begin(r) for r in hit))
+
+    async def _stopped(self, router):
+        router.count_cpu()
+        router.process.send_signal(signal.SIGTERM)
+        await router.process.wait()
+
+    async def _roll(self, fault, hit):
+        """All of them, a part of `size` at a time (a tenth where none is named)."""
+        step = max(1, round((fault.size or 0.1) * len(hit)))
+        for first in range(0, len(hit), step):
+            await self._end(fault.model_copy(update={"for_s": 0.1}), hit[first:first + step])
+
+    async def _add(self, fault, hit):
+        first = max(r.number for r in self.routers.values() if r.number < 1000) + 1
+        await asyncio.gather(*(self.begin(self.make(first + n)) for n in range(fault.count)))
+
+    async def _remove(self, fault, hit):
+        await self._end(fault.model_copy(update={"for_s": 0.0}), hit)
+
+    async def _twice(self, fault, hit):
+        """Another process of the same name on another machine, with a snapshot of its own; no client goes there."""
+        for router in hit:
+            folder = self.folder / f"{router.name}x"
+            folder.mkdir()
+            shutil.copy(self.folder / "key", folder / "key")
+            shutil.copy(self.folder / "workers.json5", folder / "workers.json5")
+            other = StormRouter(self.storm, 1000 + router.number, folder, udp_port(self.ports, self.chance),
+                                [f"storm@127.0.0.1:{router.udp}"], self.relay.port, router.name)
+            self.relay.names[other.udp] = f"{router.name}x"
+            self.routers[f"{router.name}x"] = other
+            await self.begin(other)
+        await asyncio.sleep(fault.for_s)
+        await asyncio.gather(*(self._stopped(self.routers[f"{r.name}x"]) for r in hit))
+
+    async def _clock(self, fault, hit):
+        for router in hit:
+            router.tell(clock=fault.size)
+
+    async def _disk(self, fault, hit):
+        for router in hit:
+            router.fault = fault.disk
+            router.tell(disk=fault.disk)
+
+
+def logged(folder):
+    """[(time, router, event, fields)] of all routers' logs."""
+    from datetime import datetime
+    found = []
+    for path in Path(folder).glob("**/r*.log"):
+        for line in path.read_text(errors="replace").splitlines():
+            try:
+                told = json.loads(line)
+                at = datetime.fromisoformat(told["timestamp"]).timestamp()
+            except (ValueError, KeyError, TypeError):
+                continue
+            found.append((at, path.stem + "x" * (path.parent != Path(folder)), told.get("event", ""), told))
+    return sorted(found, key=lambda row: row[0])
+
+
+async def storm(told, say=lambda text: None, folder=None):
+    """(Evidence, questions that met no router, Playing, logs) of one storm."""
+    holder = tempfile.TemporaryDirectory(prefix="rp-storm-") if folder is None else None
+    folder = Path(folder or holder.name)
+    folder.mkdir(parents=True, exist_ok=True)
+    try:
+        playing = Playing(told, folder, say)
+        evidence, missed = await playing.play()
+        return evidence, missed, playing, logged(folder)
+    finally:
+        if holder:
+            holder.cleanup()
--- /dev/null
+++ b/ramppulley/standin/disk.py
@@ -0,0 +1,48 @@
+"""A disk that lies, under whatever a router keeps. Put in by the rig's own entry point; no setting names it."""
+import errno
+import os
+from pathlib import Path
+
+from ramppulley.peers.disk import Disk
+
+
+class LyingDisk(Disk):
+    """`fault` is one of FAULTS, or "" for a good disk. `chance` is the rig's."""
+
+    FAULTS = ("flush_fails", "flush_lies", "torn", "lost", "flipped", "old", "full", "unreadable")
+
+    def __init__(self, chance, fault=""):
+        self.chance, self.fault, self.before, self.unflushed = chance, fault, {}, {}
+
+    def read(self, path, most):
+        if self.fault == "unreadable":
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        raw = super().read(path, most)
+        if raw and self.fault == "flipped":
+            at = self.chance.randrange(len(raw))
+            raw = raw[:at] + bytes([raw[at] ^ 1 << self.chance.randrange(8)]) + raw[at + 1:]
+        if self.fault == "old":
+            return self.before.get(str(path), raw)
+        return raw
+
+    def replace(self, path, raw):
+        path = Path(path)
+        self.before.setdefault(str(path), super().read(path, 1 << 20))
+        if self.fault == "full":
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        if self.fault == "flush_fails":
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        if self.fault == "lost":
+            return                          # said to be written; nothing is
+        if self.fault == "flush_lies":      # there as long as the process lives
+            self.unflushed[path] = self.before[str(path)]
+        super().replace(path, raw[:self.chance.randrange(1, len(raw))] if self.fault == "torn" else raw)
+
+    def power_cut(self):
+        """What flushes lied about is gone."""
+        for path, raw in self.unflushed.items():
+            if raw is None:
+                path.unlink(missing_ok=True)
+            else:
+                path.write_bytes(raw)
+        self.unflushed.clear()
