A restarted router asks first what others remember of it; two lives of one name are told

Cause: what a disk forgot cannot be known alone. Change: after a start only questions go out, for 4 s at most; the answer names the asker first; the incarnation is above all that is remembered, and only used once it is durable. In the storm `twice` nobody told it: a namesake with a lower incarnation was taken for a replay, and 10 s between two lives' words were too short for a cluster where each hears each seldom. Now two lives of a name are remembered with their numbers; told at the second return.

--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -103,12 +103,16 @@
           subset: Annotated[str, typer.Option(help="on, off, or both on the same seeds; else as the file says")] = "",
           out: Annotated[Optional[Path], typer.Option(help="folder for storm.json, .csv and .svg")] = None,
           keep: Annotated[Optional[Path], typer.Option(help="folder that keeps the routers' settings, logs, disks")] = None,
+          mutant: Annotated[str, typer.Option(help="break all routers on purpose in one way")] = "",
           json_: Annotated[bool, typer.Option("--json", help="a line of JSON each")] = False):
     """Run many router processes on loopback with faults between them, and judge them by sockets, engines and disks."""
     import json
 
     from ramppulley.load.storm import Storm
     from ramppulley.load import stormreport
+    from ramppulley.standin.mutants import MUTANTS
+    if mutant and mutant not in MUTANTS:
+        fail(f"no mutant {mutant!r}: {', '.join(MUTANTS)}")
     try:
         told = json5.read(file, Storm)
         first, _, last = (seeds or str(told.seed)).partition("-")
@@ -127,7 +131,7 @@
     rows = []
     for number in numbers:
         for one in storms:
-            row = stormreport.verdict(one, number, lambda text: typer.echo(text, err=True), keep)
+            row = stormreport.verdict(one, number, lambda text: typer.echo(text, err=True), keep, mutant)
             rows.append(row)
             if json_:
                 typer.echo(json.dumps(row))
@@ -302,6 +306,17 @@
         fail(str(fault))
 
 
+@app.command()
+def subsets(folder: Annotated[Path, typer.Argument(help="for subsets.csv and subsets.svg")],
+            sizes: Annotated[str, typer.Option(help="routers")] = "3,8,16,24,32,64,128,230,500,1000"):
+    """Subsets by number of routers and workers, beside published ways: fairness, steadiness, coverage (virtual)."""
+    from ramppulley.load.rings import table
+    try:
+        table(folder, [int(n) for n in sizes.split(",")], typer.echo)
+    except (OSError, ValueError) as fault:
+        fail(str(fault))
+
+
 @app.command()
 def bench(seconds: Annotated[float, typer.Option(help="of each part")] = 12.0,
           soak: Annotated[float, typer.Option(help="instead: so many seconds at half load")] = 0.0,
--- a/ramppulley/cluster/members.py
+++ b/ramppulley/cluster/members.py
@@ -98,25 +98,32 @@
 class Members:
     """One instance's part of the protocol."""
 
-    def __init__(self, name, address, chance, manners=None, now=0, incarnation=1, machine="", zone="", highest=1 << 47):
+    def __init__(self, name, address, chance, manners=None, now=0, incarnation=1, machine="", zone="", highest=1 << 47,
+                 quiet=0):
         self.name, self.address, self.chance, self.manners = name, address, chance, manners or Manners()
         self.machine, self.zone, self.traffic = machine, zone, 0
         # `highest`: of the incarnations that a restart will not use again; the host raises it when that is durable
         self.incarnation, self.highest, self.health, self.members, self.left = incarnation, highest, 0, {}, False
         self.heard_of_self = 0          # the highest incarnation that others told of us
+        # till when it only asks what others remember of it: what it kept over a restart may be lost, or old
+        self.quiet, self.first, self.answered = now + quiet if quiet else 0, incarnation, False
+        if self.quiet:
+            self.incarnation = 0
         self.spread, self.budget = Spread(), Budget(self.manners.per_second, self.manners.burst)
         self.out, self.events, self.count = [], [], Counter()
         self.round, self.number = [], chance.getrandbits(32)
         self.probe, self.helping = None, {}         # the probe under way; pings sent for others, by our number
         self.next_probe, self.next_tell, self.next_sync = now, now, now + int(self.manners.sync_each * chance.random())
         self.seeds = []
-        self._tell_self()
+        if not self.quiet:
+            self._tell_self()
 
     # What the host tells
     def join(self, now, seeds):
         """Greets instances at these addresses; greeted again with each exchange until one answers."""
         self.seeds = [seed for seed in seeds if seed != self.address]
-        self.next_sync = now + int(self.manners.period * self.chance.random())
+        wait = self.manners.answer_within if self.quiet else self.manners.period
+        self.next_sync = now + int(wait * self.chance.random())
         for seed in self.seeds:
             self._view_to(now, "sync", seed)
 
@@ -130,7 +137,7 @@
 
     def told_traffic(self, traffic):
         """Our own traffic, coarsely; told to all by a new incarnation where that may be used."""
-        if traffic != self.traffic and self.incarnation < self.highest:
+        if traffic != self.traffic and self.incarnation < self.highest and not self.quiet:
             self.traffic, self.incarnation = traffic, self.incarnation + 1
             self._tell_self()
 
@@ -138,6 +145,8 @@
         """When `tick` is wanted next."""
         times = [self.next_probe, self.next_sync, *[self.next_tell] * bool(self.spread.news)]
         times += [m.until for m in self.members.values() if m.state == "suspect"]
+        if self.quiet:
+            times.append(self.quiet)
         if self.probe:
             times.append(self.probe["ask_at"] or self.probe["ends"])
         return min(times + [helped["until"] for helped in self.helping.values()])
@@ -145,6 +154,8 @@
     def tick(self, now):
         if self.left:
             return
+        if self.quiet and (self.answered or now >= self.quiet):
+            self._speak_up(now)
         for number in [n for n, helped in self.helping.items() if now >= helped["until"]]:
             helped = self.helping.pop(number)       # Lifeguard: so that the asker knows that we live and were asked
             self._send(now, "nack", helped["address"], helped["number"])
@@ -160,6 +171,7 @@
                 self._send(now, "tell", member.address, first=member.name)
         if now >= self.next_sync:
             wait = self.manners.period if self.seeds else self.manners.sync_each    # till a seed answers
+            wait = self.manners.answer_within if self.quiet else wait
             self.next_sync = now + int(wait * (0.5 + self.chance.random()))
             self._sync(now)
 
@@ -179,6 +191,17 @@
             self._hear(now, news)
         getattr(self, "_on_" + packet.kind)(now, address, packet)
 
+    def _speak_up(self, now):
+        """From here on it is known to others, by an incarnation above all that they remember."""
+        incarnation = max(self.first, self.heard_of_self + 1)
+        if incarnation >= self.highest:         # the host first makes durable that it may be used
+            self.quiet = now + self.manners.answer_within
+            return
+        self.quiet, self.incarnation = 0, incarnation
+        self._tell_self()
+        for seed in self.seeds:
+            self._view_to(now, "sync", seed)
+
     def alive(self):
         """Names that are to be counted on: not dead, not gone; suspected ones too."""
         return sorted(m.name for m in self.members.values() if RANK[m.state] < 2)
@@ -261,10 +284,12 @@
 
     # The view
     def _on_sync(self, now, address, packet):
-        self._view_to(now, "view", address)
+        self._view_to(now, "view", address, packet.sender)
 
     def _on_view(self, now, address, packet):
-        self.seeds = []
+        self.answered = True
+        if not self.quiet:
+            self.seeds = []
 
     def _sync(self, now):
         for member in self._some(1, ()):
@@ -275,11 +300,14 @@
         for seed in self.seeds:
             self._view_to(now, "sync", seed)
 
-    def _view_to(self, now, kind, address):
-        """Ourselves and a part of the others drawn anew: in time each hears of all, and no datagram is too large."""
+    def _view_to(self, now, kind, address, first=""):
+        """Ourselves and a part of the others drawn anew: in time each hears of all, and no datagram is too large. `first`
+        of all who it is for: it may have forgotten what it was."""
         others = [self._news(m) for m in sorted(self.members.values(), key=lambda m: m.name)]
         self.chance.shuffle(others)
-        self._post(now, address, sized(Packet(VERSION, kind, self.name, 0, "", []), [self._own(), *others])[0])
+        others.sort(key=lambda news: news.name != first)
+        own = [] if self.quiet else [self._own()]
+        self._post(now, address, sized(Packet(VERSION, kind, self.name, 0, "", []), own + others)[0])
 
     def _news(self, member):
         return News(member.name, *member.address, member.state, member.incarnation, self.name, member.machine, member.zone,
@@ -330,6 +358,8 @@
 
     def _hear_of_self(self, news):
         self.heard_of_self = max(self.heard_of_self, news.incarnation)
+        if self.quiet:
+            return
         if news.state == "alive" and news.incarnation <= self.incarnation:
             return
         if news.incarnation >= self.incarnation and not self.left and news.incarnation < self.highest:
--- a/ramppulley/cluster/seal.py
+++ b/ramppulley/cluster/seal.py
@@ -18,7 +18,7 @@
 KEY_LEAST, KEY_MOST = 16, 64    # bytes of a key
 WINDOW = 1 << 10                # numbers behind the newest that may still come
 SENDERS = 1_024                 # remembered; the one unheard for longest goes first
-AGAIN = 100_000                 # two lives of one name, heard in turn within this (10 s): they run at once
+RETURNS = 2                     # times that a life came back after another one of its name: they run at once
 
 CAUSES = ("too long", "too short", "not ours", "other version", "forged", "unreadable", "other cluster", "replayed", "own",
           "own name")
@@ -42,16 +42,16 @@
 
 
 class Sender:
-    """What is remembered of one life: the newest number and which of those behind it came."""
-    __slots__ = "life", "incarnation", "newest", "came", "heard"
+    """What is remembered of one life: the newest number, which of those behind it came, how often it came back."""
+    __slots__ = "life", "newest", "came", "returns"
 
-    def __init__(self, life, incarnation, now):
-        self.life, self.incarnation, self.newest, self.came, self.heard = life, incarnation, -1, 0, now
+    def __init__(self, life):
+        self.life, self.newest, self.came, self.returns = life, -1, 0, 0
 
     def fresh(self, number):
         """Whether this number comes for the first time.
 
-        >>> sender = Sender(1, 1, 0)
+        >>> sender = Sender(1)
         >>> [sender.fresh(n) for n in (5, 5, 4, 2000, 4, 1999)]
         [True, False, True, True, False, True]
         """
@@ -75,7 +75,7 @@
         self.cluster, self.name, self.incarnation = cluster, name, incarnation
         self.life, self.number = chance.getrandbits(62), 0
         self.hash = blake2b(key=key, digest_size=TAG)
-        self.senders, self.ended, self.count, self.twice = OrderedDict(), {}, Counter(), []
+        self.senders, self.namesakes, self.count, self.twice = OrderedDict(), 0, Counter(), []
 
     def _tag(self, raw):
         one = self.hash.copy()
@@ -91,15 +91,15 @@
         raw = MARK + bytes([VERSION, len(head)]) + head + payload
         return raw + self._tag(raw)
 
-    def open(self, now, data):
+    def open(self, data):
         """(head, payload); raises Unfit, and counts its cause."""
         try:
-            return self._open(now, data)
+            return self._open(data)
         except Unfit as fault:
             self.count[str(fault)] += 1
             raise
 
-    def _open(self, now, data):
+    def _open(self, data):
         if len(data) > MOST:
             raise Unfit("too long")
         if len(data) < len(MARK) + 2 + TAG:
@@ -116,12 +116,12 @@
             raise Unfit("other cluster")
         if head.life == self.life:
             raise Unfit("own")          # our own words come back
+        self._numbered(head)
         if head.sender == self.name:
-            if head.incarnation < self.incarnation():
-                raise Unfit("replayed")         # of a life of ours before this one
-            self.twice.append(head.sender)
+            self.namesakes += 1         # one may be of a life of ours before this one, still under way
+            if self.namesakes % RETURNS == 0:
+                self.twice.append(head.sender)
             raise Unfit("own name")
-        self._numbered(now, head)
         return head, payload
 
     def _parts(self, raw):
@@ -133,28 +133,35 @@
             raise Unfit("unreadable")
         return head, raw[1 + raw[0]:]
 
-    def _numbered(self, now, head):
-        """Each number of a life once; a life that another one of its name replaced is heard no more."""
-        known = self.senders.get(head.sender)
-        if known is None or known.life != head.life:
-            if known is not None:
-                self._other_life(now, head, known)
-            known = self.senders[head.sender] = Sender(head.life, head.incarnation, now)
-            while len(self.senders) > SENDERS:
-                self.ended.pop(self.senders.popitem(last=False)[0], None)
+    def _numbered(self, head):
+        """Each number of a life once. Two lives of a name are remembered: a restart is believed; but words of a life that
+        another one followed, again and again and not heard before, are of a process that runs beside it, which is told.
+        Neither silences the other."""
+        lives = self.senders.setdefault(head.sender, [])
         self.senders.move_to_end(head.sender)
+        while len(self.senders) > SENDERS:
+            self.senders.popitem(last=False)
+        known = next((one for one in lives if one.life == head.life), None)
+        if known is None:
+            known = Sender(head.life)
+            lives.append(known)
+            del lives[:-2]
         if not known.fresh(head.number):
             raise Unfit("replayed")
-        known.heard, known.incarnation = now, max(known.incarnation, head.incarnation)
+        if known is not lives[-1]:
+            lives.reverse()
+            known.returns += 1
+            if known.returns >= RETURNS:
+                self.twice.append(head.sender)
+                known.returns = 0
 
-    def _other_life(self, now, head, known):
-        """A restart is believed; lives heard in turn are two at once, which is told, and neither silences the other."""
-        before = self.ended.get(head.sender)
-        if before is not None and before[0] == head.life:
-            if now - known.heard > AGAIN or now - before[1] > AGAIN:
-                raise Unfit("replayed")         # an old life's words, long after it ended
-            self.twice.append(head.sender)
-        self.ended[head.sender] = known.life, now
 
+def head_of(data):
+    """The head as it stands, unchecked, None if there is none: for who only watches."""
+    try:
+        return _decoder.decode(data[4:4 + data[3]])
+    except (msgspec.MsgspecError, RecursionError, IndexError):
+        return None
 
-__all__ = ["CAUSES", "Head", "Seal", "Unfit"]
+
+__all__ = ["CAUSES", "Head", "Seal", "Unfit", "head_of"]
--- a/ramppulley/cluster/subsets.py
+++ b/ramppulley/cluster/subsets.py
@@ -18,7 +18,7 @@
 ZONE_SLACK = 1.1                # a zone's workers may get so many times their even part before its routers use other zones'
 STEPS = 16                      # of what a zone keeps: traffic that moves a little moves no subset
 ROUNDS = 12                     # of fitting; measured: the most loaded is within 1.02 after 8
-FINER_BY = 1.25                 # a finer part is taken up with so many times the routers that it needs: no flapping there
+KEPT_AT = 0.8                   # a part is kept down to this part of what taking it up needs: no flapping at its edge
 
 
 @dataclass(frozen=True)
@@ -58,15 +58,17 @@
 
 def part_of(routers, workers, least, before=1.0):
     """The part of the list that a router uses: 1, 1/2, 1/4 ... so that each worker has COVERED routers and each router
-    `least` workers. `before`: the part so far, which is kept in a band so that a router that flaps moves nothing.
+    `least` workers. `before`: the part so far, which is kept in a band so that one that flaps moves nothing.
 
-    >>> part_of(64, 64, 12), part_of(7, 64, 12), part_of(1000, 256, 12), part_of(16, 64, 12), part_of(16, 64, 12, 0.5)
+    >>> part_of(64, 64, 12), part_of(7, 64, 12), part_of(1000, 256, 12), part_of(15, 64, 12), part_of(15, 64, 12, 0.5)
     (0.25, 1.0, 0.0625, 1.0, 0.5)
     """
     part = 1.0
-    while part / 2 * workers >= least and part / 2 * routers >= COVERED * (FINER_BY if part / 2 < before else 1.0):
+    while True:
+        kept = KEPT_AT if part / 2 >= before else 1.0
+        if part / 2 * workers < least * kept or part / 2 * routers < COVERED * kept:
+            return part
         part /= 2
-    return part
 
 
 def flows(peers, places):
--- a/ramppulley/daemon/asking.py
+++ b/ramppulley/daemon/asking.py
@@ -35,7 +35,7 @@
         while (left := until - time.monotonic()) > 0:
             sock.settimeout(left)
             try:
-                _, payload = seal.open(0, sock.recv(MOST + 1))
+                _, payload = seal.open(sock.recv(MOST + 1))
                 page = showing.page(payload)
             except (Unfit, msgspec.MsgspecError, TimeoutError):
                 continue
--- a/ramppulley/daemon/cluster.py
+++ b/ramppulley/daemon/cluster.py
@@ -16,6 +16,7 @@
 from ramppulley.peers.disk import Disk
 from ramppulley.service.clock import TENTHS
 
+QUIET = 4 * TENTHS              # at most, after a start, till others said what they remember of us
 AGAIN = 0.5                     # seconds between two times that subsets are worked out
 TOLD_TWICE = 30 * TENTHS        # one line in this for a name that two routers have
 
@@ -44,7 +45,7 @@
     def _key(self):
         path = self.base / self.told.key_file
         try:
-            raw = self.disk.read(path, 4096)
+            raw = Disk().read(path, 4096)       # the operators' file, not one that the router keeps
         except OSError as fault:
             raise self._fault("key_file", f"{path}: {fault.strerror}") from fault
         if raw is None:
@@ -81,7 +82,7 @@
         self.datagrams = Datagrams(self.seal, self.clock, sock, self._turned)
         now = self.clock.now()
         self.members = Members(self.orders.name, self.datagrams.address, self.chance, None, now, self.first, told.machine,
-                               self.orders.zone, self.kept.highest)
+                               self.orders.zone, self.kept.highest, QUIET if told.seeds else 0)
         self.datagrams.machines = {"members": self.members, "show": Showing(self.rows, Budget(PER_SECOND, BURST))}
         self.members.join(now, told.addresses())
         self.datagrams.start()
@@ -102,11 +103,12 @@
                 self.log.error("a name twice", name=name, why=mine)
                 self.doubles[name] = now
         self.seal.twice.clear()
-        if self.members.heard_of_self > self.kept.highest and not self.stale:
+        if self.members.heard_of_self >= self.first and self.members.quiet and not self.stale:
             self.stale = True
             self.log.error("the snapshot is older than what others remember of us", file=str(self.path),
-                           kept=self.kept.highest, heard=self.members.heard_of_self)
-        if self.members.incarnation > self.kept.highest - snapshot.BLOCK // 2 and self.saving is None:
+                           kept=self.first - 1, heard=self.members.heard_of_self)
+        used = max(self.members.incarnation, self.members.heard_of_self)
+        if used > self.kept.highest - snapshot.BLOCK // 2 and self.saving is None:
             self.saving = asyncio.get_running_loop().create_task(self._save())
 
     async def _save(self):
--- a/ramppulley/load/nets.py
+++ b/ramppulley/load/nets.py
@@ -22,8 +22,8 @@
         for number in range(size):
             self.start(f"i{number}", seeds=[("i0", 1)] if join else [])
 
-    def start(self, name, seeds=(("i0", 1),), incarnation=1):
-        member = Members(name, (name, 1), Random(self.chance.getrandbits(32)), self.manners, self.now, incarnation)
+    def start(self, name, seeds=(("i0", 1),), incarnation=1, **more):
+        member = Members(name, (name, 1), Random(self.chance.getrandbits(32)), self.manners, self.now, incarnation, **more)
         self.members[name] = member
         self.sent.setdefault(name, 0)
         self.bytes.setdefault(name, 0)
--- a/ramppulley/load/storm.py
+++ b/ramppulley/load/storm.py
@@ -53,6 +53,7 @@
     subset: int | None = Field(12, ge=4)        # workers_least; null = the whole list
     notices_s: float = Field(2.0, ge=0)         # the clients' front notices a dead router only then
     warm_s: float = Field(2.0, ge=0)            # from the last router's start to the first question
+    service_least: float = Field(0.0, ge=0, le=1)       # what the storm must not push service under
     uneven: float = Field(1.0, ge=1)            # router 0 gets so many times the others' questions
     faults: list[Fault] = []
 
--- a/ramppulley/load/stormreport.py
+++ b/ramppulley/load/stormreport.py
@@ -42,10 +42,22 @@
     return max(first, default=None), max(last, default=None), wrong
 
 
-def verdict(told, seed, say=lambda text: None, folder=None):
+def strangers(playing, logs):
+    """Ends and returns that break what the rig knows: a router counted out by all for good, or one incarnation in two lives.
+
+    Incarnations are read from what crossed the relay, not from the routers' word.
+    """
+    lives, found = {}, []
+    for name, life, incarnation in playing.relay.lives:
+        if incarnation and lives.setdefault((name, incarnation), life) != life:
+            found.append(f"{name} used incarnation {incarnation} in two lives")
+    return sorted(set(found))
+
+
+def verdict(told, seed, say=lambda text: None, folder=None, mutant=""):
     """Everything that is told of one storm, as plain data."""
     one = told.model_copy(update={"seed": seed})
-    evidence, missed, playing, logs = uvloop.run(storm(one, say, folder))
+    evidence, missed, playing, logs = uvloop.run(storm(one, say, folder, mutant))
     table = rules.table(evidence)
     roles = {n: s.engine.kind.role for n, s in playing.fleet.standins.items() if s.engine.kind.role != "pool"}
     wanted = sum(a.benefit for a in evidence.asked if a.how != "left")
@@ -57,7 +69,7 @@
     names = [r.name for r in routers if r.number < 1000]
     return {
         "storm": told.name, "seed": seed, "version": VERSION, "routers": told.routers, "peers": told.peers,
-        "subset": told.subset if told.peers else None,
+        "subset": told.subset if told.peers else None, "mutant": mutant,
         "service": round(rules.service(evidence) * wanted / ((wanted + missed) or 1), 4),
         "breaches": [str(b) for b in rules.breaches(evidence)],
         "left_out": [str(b) for b in fleetwide.left_out(evidence, roles)],
@@ -72,20 +84,22 @@
         "bytes_most_s": round(max((playing.bytes.get(n, 0) for n in names), default=0) / playing.took),
         "stood_s": round(sum(b - a for a, b in evidence.stood) / 10_000, 2),
         "twice": sum(event == "a name twice" for _, _, event, _ in logs),
+        "service_least": told.service_least, "strangers": strangers(playing, logs),
         "faults": sum(event in ("module fault", "subsets not worked out") for _, _, event, _ in logs),
         "course": course(evidence, start, told.length_s)}
 
 
 def good(row):
-    return not (row["breaches"] or row["left_out"] or row["lost"] or row["faults"])
+    return not (row["breaches"] or row["left_out"] or row["lost"] or row["faults"] or row["strangers"]
+                or row["service"] < row["service_least"])
 
 
 def written(rows, folder):
     """storm.json, storm.csv and storm.svg."""
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "storm.json").write_text(json.dumps(rows, indent=1))
-    flat = [{key: len(value) if key in ("breaches", "left_out") else json.dumps(value) if isinstance(value, (dict, list))
-             else value for key, value in row.items() if key != "course"} for row in rows]
+    flat = [{key: len(value) if isinstance(value, list) else json.dumps(value) if isinstance(value, dict) else value
+             for key, value in row.items() if key != "course"} for row in rows]
     with open(folder / "storm.csv", "w", newline="") as file:
         table = csv.DictWriter(file, flat[0])
         table.writeheader()
--- a/ramppulley/load/stormrun.py
+++ b/ramppulley/load/stormrun.py
@@ -43,23 +43,24 @@
 class StormRouter(ProcessRouter):
     """A router process of the rig: its datagrams pass the relay, its clock and disk are the rig's to spoil."""
 
-    def __init__(self, storm, number, folder, port, seeds, relay, name=None, key="key"):
+    def __init__(self, storm, number, folder, port, seeds, relay, name=None, mutant=""):
         name = name or f"r{number}"
         orders = orders_of(storm, number, name=name, routers=storm.most(), log="json")
         if storm.peers:
-            orders["peers"] = {"cluster": "storm", "key_file": str(folder / key), "snapshot": f"{name}.snap", "port": port,
+            orders["peers"] = {"cluster": "storm", "key_file": str(folder / "key"), "snapshot": f"{name}.snap", "port": port,
                                "seeds": seeds, "machine": f"m{number}"}
             if storm.subset:
                 orders["peers"]["subset"] = {"workers_least": storm.subset}
         super().__init__(orders, folder)
         self.number, self.relay, self.seed, self.udp, self.fault = number, relay, storm.seed, port, ""
+        self.mutant = mutant
         self.away, self.process, self.cpu, self.told, self.ends = [], None, 0.0, 0, []
 
     async def start(self):
         log = open(self.folder / f"{self.name}.log", "ab")  # noqa: ASYNC230
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "ramppulley.standin.entry", str(self.path), str(self.relay), f"{self.seed} {self.name}",
-            self.fault, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log,
+            self.fault, self.mutant, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log,
             env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])})
         log.close()
         async with asyncio.timeout(START_WITHIN):
@@ -129,8 +130,9 @@
 class Playing:
     """One storm under way."""
 
-    def __init__(self, storm, folder, say):
+    def __init__(self, storm, folder, say, mutant=""):
         self.storm, self.folder, self.say, self.routers, self.front = storm, Path(folder), say, {}, None
+        self.mutant = mutant
         self.links = Links(Random(f"{storm.seed} links"))
         self.relay = Relay(self.links, lambda: int(time.monotonic() * S))
         self.chance, self.ports, self.lasting, self.events = Random(os.getpid()), set(), set(), []
@@ -138,7 +140,7 @@
     def make(self, number, name=None):
         port = udp_port(self.ports, self.chance)
         seeds = [f"storm@127.0.0.1:{r.udp}" for r in list(self.routers.values())[:3]]
-        router = StormRouter(self.storm, number, self.folder, port, seeds, self.relay.port, name)
+        router = StormRouter(self.storm, number, self.folder, port, seeds, self.relay.port, name, self.mutant)
         self.relay.names[port] = router.name if name is None else f"{name}x"
         self.routers[router.name if name is None else f"{name}x"] = router
         return router
@@ -280,7 +282,8 @@
             shutil.copy(self.folder / "key", folder / "key")
             shutil.copy(self.folder / "workers.json5", folder / "workers.json5")
             other = StormRouter(self.storm, 1000 + router.number, folder, udp_port(self.ports, self.chance),
-                                [f"storm@127.0.0.1:{router.udp}"], self.relay.port, router.name)
+                                [f"storm@127.0.0.1:{r.udp}" for r in list(self.routers.values())[:3]], self.relay.port,
+                                router.name, self.mutant)
             self.relay.names[other.udp] = f"{router.name}x"
             self.routers[f"{router.name}x"] = other
             await self.begin(other)
@@ -312,13 +315,13 @@
     return sorted(found, key=lambda row: row[0])
 
 
-async def storm(told, say=lambda text: None, folder=None):
+async def storm(told, say=lambda text: None, folder=None, mutant=""):
     """(Evidence, questions that met no router, Playing, logs) of one storm."""
     holder = tempfile.TemporaryDirectory(prefix="rp-storm-") if folder is None else None
     folder = Path(folder or holder.name)
     folder.mkdir(parents=True, exist_ok=True)
     try:
-        playing = Playing(told, folder, say)
+        playing = Playing(told, folder, say, mutant)
         evidence, missed = await playing.play()
         return evidence, missed, playing, logged(folder)
     finally:
--- a/ramppulley/peers/datagrams.py
+++ b/ramppulley/peers/datagrams.py
@@ -51,7 +51,7 @@
             except OSError:             # an answer of the other side's kernel to something that we sent
                 continue
             try:
-                head, payload = self.seal.open(now, data)
+                head, payload = self.seal.open(data)
             except Unfit:
                 continue                # counted there
             machine = self.machines.get(head.kind)
--- a/ramppulley/standin/disk.py
+++ b/ramppulley/standin/disk.py
@@ -6,13 +6,18 @@
 from ramppulley.peers.disk import Disk
 
 
+def before(path):
+    """Where the contents before the last are kept."""
+    return Path(f"{path}.before")
+
+
 class LyingDisk(Disk):
     """`fault` is one of FAULTS, or "" for a good disk. `chance` is the rig's."""
 
     FAULTS = ("flush_fails", "flush_lies", "torn", "lost", "flipped", "old", "full", "unreadable")
 
     def __init__(self, chance, fault=""):
-        self.chance, self.fault, self.before, self.unflushed = chance, fault, {}, {}
+        self.chance, self.fault, self.unflushed = chance, fault, {}
 
     def read(self, path, most):
         if self.fault == "unreadable":
@@ -21,13 +26,14 @@
         if raw and self.fault == "flipped":
             at = self.chance.randrange(len(raw))
             raw = raw[:at] + bytes([raw[at] ^ 1 << self.chance.randrange(8)]) + raw[at + 1:]
-        if self.fault == "old":
-            return self.before.get(str(path), raw)
+        if self.fault == "old":             # yesterday's contents
+            old = super().read(before(path), most)
+            return raw if old is None else old
         return raw
 
     def replace(self, path, raw):
         path = Path(path)
-        self.before.setdefault(str(path), super().read(path, 1 << 20))
+        was = super().read(path, 1 << 20)
         if self.fault == "full":
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         if self.fault == "flush_fails":
@@ -35,7 +41,9 @@
         if self.fault == "lost":
             return                          # said to be written; nothing is
         if self.fault == "flush_lies":      # there as long as the process lives
-            self.unflushed[path] = self.before[str(path)]
+            self.unflushed[path] = was
+        if was is not None:
+            before(path).write_bytes(was)
         super().replace(path, raw[:self.chance.randrange(1, len(raw))] if self.fault == "torn" else raw)
 
     def power_cut(self):
--- a/ramppulley/standin/entry.py
+++ b/ramppulley/standin/entry.py
@@ -1,4 +1,4 @@
-"""The rig's own way to start a router: `python -m ramppulley.standin.entry SETTINGS RELAY SEED [DISK-FAULT]`.
+"""The rig's own way to start a router: `python -m ramppulley.standin.entry SETTINGS RELAY SEED [DISK-FAULT [MUTANT]]`.
 
 The program is the same; its datagrams pass the relay, its clock steps and its disk lies as told on standard input:
 one line of JSON each, {"clock": SECONDS} or {"disk": FAULT}.
@@ -16,6 +16,7 @@
 from ramppulley.service.clock import TENTHS, LoopClock
 from ramppulley.standin.disk import LyingDisk
 from ramppulley.standin.links import Tunnel
+from ramppulley.standin.mutants import MUTANTS
 
 
 class SteppedClock(LoopClock):
@@ -30,7 +31,9 @@
         return self.last
 
 
-async def main(settings, relay, seed, fault=""):
+async def main(settings, relay, seed, fault="", mutant=""):
+    if mutant:
+        MUTANTS[mutant]()
     orders, loop, disk = orders_of(settings), asyncio.get_running_loop(), LyingDisk(Random(f"disk {seed}"), fault)
     daemon = Daemon(orders, logs(orders.log), settings.parent, clock=SteppedClock, disk=disk,
                     socket=lambda host, port: Tunnel(host, port, relay))
@@ -49,4 +52,4 @@
 
 
 if __name__ == "__main__":
-    uvloop.run(main(Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3], *sys.argv[4:5]))
+    uvloop.run(main(Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3], *sys.argv[4:6]))
--- a/ramppulley/standin/links.py
+++ b/ramppulley/standin/links.py
@@ -5,6 +5,7 @@
 import struct
 from dataclasses import dataclass, replace
 
+from ramppulley.cluster.seal import head_of
 from ramppulley.peers.datagrams import bound
 
 HEAD = struct.Struct(">H")      # before each datagram: to the relay the port that it is for, from it the one that it is from
@@ -67,6 +68,7 @@
 
     def __init__(self, links, clock):
         self.links, self.clock, self.names, self.loop = links, clock, {}, None
+        self.lives = set()              # (name, life, incarnation) of all that crossed
         self.sock = bound("127.0.0.1", 0)
         self.port = self.sock.getsockname()[1]
 
@@ -83,6 +85,8 @@
                 return
             port, data = HEAD.unpack_from(raw)[0], raw[HEAD.size:]
             pair = self.names.get(source, str(source)), self.names.get(port, str(port))
+            if (head := head_of(data)) is not None:
+                self.lives.add((pair[0], head.life, head.incarnation))
             for wait in self.links.fate(pair, self.clock(), data):
                 self._later(wait, source, port, data)
 
--- /dev/null
+++ b/ramppulley/standin/mutants.py
@@ -0,0 +1,52 @@
+"""Routers broken on purpose, each in one place: what the rig's checkers must catch. Put in by the rig's own entry point."""
+from ramppulley import rules
+from ramppulley.cluster import members, seal, snapshot, subsets
+from ramppulley.daemon import cluster
+
+
+def caged():
+    """Never looks beyond its subset."""
+    rules.Question.roster = property(lambda question: question.router.usual)
+
+
+def unguarded():
+    """All routers use the same part of the list: nobody minds who is left out."""
+    subsets.mark_of = subsets.mark_of.__class__(subsets.mark_of.__code__, {"crc32": lambda raw: 7, "MIX": subsets.MIX,
+                                                                           "WORD": subsets.WORD})
+    subsets.WARDENS = 0
+    caged()
+
+
+def forgetful():
+    """Begins its incarnations anew at each start."""
+    snapshot.read = lambda raw, name, router: snapshot.Kept(name, router, 0)
+
+
+def meek():
+    """Never denies that it is dead."""
+    members.Members._hear_of_self = lambda self, news: None
+
+
+def trusting():
+    """Believes datagrams whatever their tag and number."""
+    seal.compare_digest = lambda a, b: True
+    seal.Sender.fresh = lambda self, number: True
+
+
+def rash():
+    """Holds for dead at once whom it suspects."""
+    members.Members.suspicion_time = lambda self, accusers: 1
+
+
+def blind():
+    """Keeps the subset that it had first, whoever comes or goes."""
+    found = cluster.Cluster._found
+
+    def once(self, *given):
+        if not hasattr(self, "once_found") and given[0] is not None and len(given[1]) > 1:
+            self.once_found = found(self, *given)
+        return getattr(self, "once_found", None) or found(self, *given)
+    cluster.Cluster._found = once
+
+
+MUTANTS = {act.__name__: act for act in (caged, unguarded, forgetful, meek, trusting, rash, blind)}
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -72,6 +72,43 @@
     assert not net.seen("dead")
 
 
+def test_one_that_forgot_all_asks_first_and_uses_no_incarnation_again():
+    net = met()
+    net.members["i4"].told_traffic(5)
+    net._after("i4", net.members["i4"])
+    net.run(net.now + 30 * S)
+    used = net.members["i4"].incarnation
+    net.end("i4")
+    net.run(net.now + S)
+    member, told = net.start("i4", quiet=2 * S), set()
+    for _ in range(200):
+        told.add(member.incarnation)
+        net.run(net.now + 100 * MS)
+    assert used == 2 and min(told - {0}) > used and net.agree()
+
+
+def test_one_whom_nobody_answers_speaks_up_by_itself():
+    net = Net(1)
+    member = net.start("i9", seeds=[("nobody", 1)], quiet=2 * S)
+    net.run(S)
+    assert member.incarnation == 0
+    net.run(3 * S)
+    assert member.incarnation == 1
+
+
+def test_an_incarnation_that_may_be_lost_at_the_next_start_is_not_used():
+    net = met()
+    net.end("i4")
+    for member in net.members.values():
+        member.members["i4"].incarnation = 50
+    member = net.start("i4", quiet=S, highest=20)
+    net.run(net.now + 5 * S)
+    assert member.incarnation == 0 and member.heard_of_self == 50
+    member.highest = 2000
+    net.run(net.now + 5 * S)
+    assert member.incarnation >= 51
+
+
 def test_a_partition_heals_although_each_half_holds_the_other_for_dead():
     net = met(10)
     half = {f"i{n}" for n in range(5)}
