--- a/ramppulley/standin/mutants.py
+++ b/ramppulley/standin/mutants.py
@@ -11,15 +11,14 @@
 
 def unguarded():
     """All routers use the same part of the list: nobody minds who is left out."""
-    subsets.mark_of = subsets.mark_of.__class__(subsets.mark_of.__code__, {"crc32": lambda raw: 7, "MIX": subsets.MIX,
-                                                                           "WORD": subsets.WORD})
+    subsets.mark_of = lambda name: 7
     subsets.WARDENS = 0
     caged()
 
 
 def forgetful():
-    """Begins its incarnations anew at each start."""
-    snapshot.read = lambda raw, name, router: snapshot.Kept(name, router, 0)
+    """Begins its incarnations anew at each start, and asks nobody."""
+    snapshot.read, cluster.QUIET = lambda raw, name, router: snapshot.Kept(name, router, 0), 0
 
 
 def meek():
--- /dev/null
+++ b/tests/test_storms.py
@@ -0,0 +1,89 @@
+"""Stories of several router processes with faults between them, and of what judges them."""
+from random import Random
+
+import pytest
+from test_checkers import S, asked
+
+from ramppulley.check import fleetwide
+from ramppulley.check.evidence import Entry, Evidence
+from ramppulley.load.day import Fleet, Stream
+from ramppulley.load.storm import Fault, Storm, drawn, pairs
+from ramppulley.load.stormreport import good, verdict
+from ramppulley.standin.links import Link, Links
+
+STREAMS = [Stream(use_case="afloat", per_s=20), Stream(use_case="booking", per_s=6)]
+
+
+def played(*faults, mutant="", **more):
+    more = {"name": "story", "seed": 5, "length_s": 5, "routers": 5, "warm_s": 2.5, "notices_s": 0.5,
+            "fleet": Fleet(cells=2, readers=2, writers=2, pooled=0), "streams": STREAMS, **more}
+    return verdict(Storm(faults=list(faults), **more), more["seed"], mutant=mutant)
+
+
+@pytest.mark.timeout(120)
+def test_three_of_five_routers_killed_at_once_cost_only_what_they_held():
+    row = played(Fault(what="kill", at_s=1, for_s=1, part=0.6))
+    assert good(row), row
+    assert 0 < row["unreached"] < 60 and row["service"] > 0.5
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("mutant, broken", [("", False), ("forgetful", True)])
+def test_a_machine_lost_with_its_disk_uses_no_incarnation_twice(mutant, broken):
+    row = played(Fault(what="lose", at_s=0.5, for_s=0.2, who="r1"), mutant=mutant)
+    assert bool(row["strangers"]) is broken and not row["breaches"], row
+
+
+@pytest.mark.timeout(120)
+def test_a_second_router_of_one_name_is_told_and_harms_nobody():
+    row = played(Fault(what="twice", at_s=0.2, for_s=4.5, who="r2"))
+    assert good(row) and row["twice"], row
+
+
+def test_a_seed_draws_the_same_routers_and_links_each_time():
+    storm = Storm(name="s", seed=4, routers=6, streams=STREAMS, faults=[
+        Fault(what="kill", at_s=1, part=0.5), Fault(what="cut", at_s=1, who="r[0-2]", to="r[3-5]", one_way=True)])
+    names = [f"r{n}" for n in range(6)]
+    assert drawn(storm, 0, names) == drawn(storm, 0, list(reversed(names))) and len(drawn(storm, 0, names)) == 3
+    assert ("r0", "r3") in pairs(storm.faults[1], names) and ("r3", "r0") not in pairs(storm.faults[1], names)
+
+
+def test_a_link_drops_delays_doubles_stalls_and_is_cut_one_way_by_its_seed():
+    def fates(seed, **more):
+        links = Links(Random(seed))
+        links.links["a", "b"] = Link(**more)
+        return [links.fate(("a", "b"), n * 100, b"x" * 100) for n in range(200)]
+    assert fates(1, drop=0.3, jitter=500) == fates(1, drop=0.3, jitter=500) != fates(2, drop=0.3, jitter=500)
+    assert 30 < fates(1, drop=0.3).count([]) < 90
+    assert {len(fate) for fate in fates(1, double=0.5)} == {1, 2} and fates(1, cut=True) == [[]] * 200
+    assert fates(1, per_second=1000)[9][0] > 9 * 900
+    links = Links(Random(1))
+    links.change(("a", "b"), stalled=True)
+    assert links.fate(("a", "b"), 0, b"1") == [] and links.fate(("b", "a"), 0, b"2") == [0]
+    assert links.change(("a", "b"), stalled=False) == [b"1"]
+
+
+def ledger(*who):
+    return [Entry(name, f"q{n}.r0-{n}-s0", "read", int(n * S / 10), ended=int(n * S / 10) + 10, weight=100)
+            for n, name in enumerate(who)]
+
+
+def test_a_worker_that_nobody_uses_is_found_and_one_that_drains_or_is_cold_is_not():
+    roles = {"a": "read", "b": "read"}
+    entries = ledger(*["a"] * 300)
+    told = {"listed": [], "asked": [asked(), asked(ended=31 * S)], "ledger": entries, "held": []}
+    told["asked"][1].sent = 30 * S
+    assert [one.worker for one in fleetwide.left_out(Evidence(**told), roles)] == ["b"]
+    assert not fleetwide.left_out(Evidence(**{**told, "ledger": ledger(*["a", "b"] * 150)}), roles)
+    assert not fleetwide.left_out(Evidence(**{**told, "listed": [(0, {"a": "ready", "b": "draining"})]}), roles)
+    assert not fleetwide.left_out(Evidence(**told, births=[("b", 0)], cold={"b": (0.3, 40 * S, 4.0, S)}), roles)
+    assert fleetwide.unevenness(Evidence(**told), roles) == {"read": 2.0}
+    assert fleetwide.spread(Evidence(**told), roles) == (0.5, 1)
+
+
+def test_a_storm_that_makes_no_sense_is_told():
+    for bad in ({"what": "drop", "at_s": 1}, {"what": "add", "at_s": 1}, {"what": "disk", "at_s": 1, "disk": "odd"}):
+        with pytest.raises(ValueError):
+            Fault(**bad)
+    with pytest.raises(ValueError, match="64 are the most"):
+        Storm(name="s", streams=STREAMS, routers=40, faults=[Fault(what="add", at_s=1, count=30)])
