A router that the system gives no processor is not charged for it; CPU of subsets by ./rp grid

Seen: the storm halves on a machine with a load of 8.7: rule 5 once, 660 ms. Its process had waited for a processor; the kernel counts that (schedstat), the rig looks 20 times a second, and the clocks on that router rest.

--- a/ramppulley/check/evidence.py
+++ b/ramppulley/check/evidence.py
@@ -52,6 +52,7 @@
     windows: dict[str, tuple[str, int]] = {}        # use case -> group and window of a receipt
     unreachable: list[tuple[str, int, int]] = []    # worker, from, to: no router could tell it anything
     away: list[tuple[int, int, int]] = []           # (router, from, to): its process was stopped, not ended
+    starved: list[tuple[int, int, int]] = []        # (router, from, to): it was ready to run and had no processor
     stood: list[tuple[int, int]] = []               # from, to: the stand-ins' own process did nothing at all
     drain_grace: int = 20_000
     let_go_within: int = 3_000
--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -275,6 +275,7 @@
          load: Annotated[float, typer.Option(min=0.1, help="times the usual traffic; 2 is overload")] = 1.0,
          workers: Annotated[str, typer.Option(help="sizes of fleets")] = "12,24,48,72,144",
          routers: Annotated[str, typer.Option(help="one of so many routers' traffic")] = "1,8,64,230",
+         subset: Annotated[bool, typer.Option(help="also with a part of the list used ordinarily")] = False,
          rounds: Annotated[int, typer.Option(min=1)] = 2):
     """The module's CPU an event by fleet size and share of the traffic; virtual clock, made fleets (simulated)."""
     from ramppulley.load import grid as grids
@@ -285,7 +286,7 @@
         with tempfile.TemporaryDirectory() as old:
             texts = {commit: replays.text_at(commit, old)} if commit else {}
             grids.run(folder, {**texts, "now": Router}, workers=sizes, routers=shares, questions=questions, load=load,
-                      rounds=rounds, say=typer.echo)
+                      rounds=rounds, say=typer.echo, subset=subset)
     except replays.Difference as met:
         typer.echo(f"differs at {met}", err=True)
         raise typer.Exit(1) from None
--- a/ramppulley/load/grid.py
+++ b/ramppulley/load/grid.py
@@ -7,12 +7,13 @@
 import csv
 import heapq
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 
 from ramppulley import door
 from ramppulley.check import replay
+from ramppulley.cluster import subsets
 from ramppulley.rules import Router
 from ramppulley.service import events
 
@@ -34,6 +35,17 @@
     questions: int
     load: float = 1.0           # times the usual traffic; above about 1.4 the fleet is short and lines grow
     seed: int = 1
+    subset: bool = False        # whether the router uses a part of the list ordinarily
+
+
+LEAST = 12                      # workers in a subset
+
+
+def usual(size, boxes):
+    """Marks of the workers that this router uses ordinarily, one of so many alike."""
+    places = [subsets.Place(b.mark, b.role, b.cell, b.zone) for b in boxes]
+    peers = [subsets.Peer(f"r{n}", n % 2) for n in range(size.routers)]
+    return subsets.View(peers, places, subsets.part_of(len(peers), len(places), LEAST)).subset(peers[0])
 
 
 class MadeFleet:
@@ -45,6 +57,8 @@
         self.boxes = [door.Box(mark=draw.getrandbits(32), role="read" if i % 2 else "write", cell=i // CELL,
                                zone=i // CELL % 2, memory=60_000) for i in range(size.workers)]
         self.busy = {box: draw.uniform(0.2, 0.5) * size.load for box in self.boxes}     # share of memory, by others
+        for box in self.boxes if size.subset else ():
+            box.usual = box.mark in usual(size, self.boxes)
         self.silent, self.sends, self.asked = self.boxes[2:3], {}, 0
         self.router = make(self, seed=size.seed, routers=size.routers, zone=0, use_cases=CASES,
                            accounts=[door.Account(ASKED_EACH * size.workers / 2)] * 2,
@@ -167,7 +181,13 @@
     return sum(times * us for times, us in told.values()) / sum(times for times, _ in told.values())
 
 
-def run(folder, texts, *, workers=WORKERS, routers=ROUTERS, questions=300, load=1.0, rounds=2, say=print):
+def asked(told):
+    """us a question, all its events together."""
+    return sum(times * us for times, us in told.values()) / told["arrived"][0]
+
+
+def run(folder, texts, *, workers=WORKERS, routers=ROUTERS, questions=300, load=1.0, rounds=2, say=print,
+        subset=False):
     """The whole grid into folder/cost.csv (a row a cell, text and kind) and folder/cost.svg; returns the cells' means."""
     folder, means = Path(folder), {}
     folder.mkdir(parents=True, exist_ok=True)
@@ -178,6 +198,14 @@
             for share in routers:
                 size, began = Size(count, share, questions, load), time.monotonic()
                 told = measure(size, record(size, folder / f"{count}x{share}.rec"), texts, rounds)
+                if subset:      # the same questions, other events: its ratio is of CPU a question
+                    part = measure(size, record(replace(size, subset=True), folder / f"{count}x{share}-part.rec"),
+                                   {"subset": Router}, rounds)["subset"]
+                    whole = told[list(texts)[-1]]
+                    say(f"{count:4} workers, 1/{share:<3} of the traffic, subset: {asked(part):7.1f} us a question, "
+                        f"whole list {asked(whole):7.1f}, ratio {asked(part) / asked(whole):.2f}")
+                    table.writerows([count, share, load, size.seed, "subset", event, times, round(us, 2)]
+                                    for event, (times, us) in sorted(part.items()))
                 for name, kinds in told.items():
                     means[count, share, name] = each(kinds)
                     table.writerows([count, share, load, size.seed, name, event, times, round(us, 2)]
--- a/ramppulley/load/run.py
+++ b/ramppulley/load/run.py
@@ -12,7 +12,7 @@
 
 from ramppulley.check.evidence import Asked, Evidence
 from ramppulley.daemon.daemon import Daemon
-from ramppulley.load.beat import Beat
+from ramppulley.load.beat import Beat, Starving
 from ramppulley.load.client import ask
 from ramppulley.load.day import arrivals, body_of
 from ramppulley.load.troubles import Troubles
@@ -181,11 +181,13 @@
     orders = [orders_of(day, n) for n in range(day.routers)]
     routers = [TaskRouter(o, folder, log, make) if make else ProcessRouter(o, folder, policy) for o in orders]
     tasks, beat = [], Beat()
+    starving = Starving(lambda: {r.number: r.process.pid for r in routers if getattr(r, "process", None)})
     gc.collect()
     gc.freeze()                         # a full collection stops all stand-ins and clients for up to tenths of a second
     try:
         await asyncio.gather(*(r.start() for r in routers))
         beat.start()
+        starving.start()
         troubles = Troubles(fleet, day.seed, routers)
         start = loop.time() + 0.1
         progress(f"{day.name}: {len(plan)} questions in {day.length_s:g} s, {day.routers} router(s), "
@@ -208,10 +210,11 @@
             task.cancel()
         await asyncio.gather(*(r.stop() for r in routers), return_exceptions=True)
         await beat.stop()
+        await starving.stop()
         await ended(fleet)
         if holder:
             holder.cleanup()
-    return gathered(asked, fleet, routers, beat, orders[0])
+    return gathered(asked, fleet, routers, beat, orders[0], starving)
 
 
 async def let_go(fleet, within=1.0):
@@ -230,7 +233,7 @@
         held.until, held.how = None, ""
 
 
-def gathered(asked, fleet, routers, beat, orders):
+def gathered(asked, fleet, routers, beat, orders, starving):
     """The Evidence of a run that has ended. `orders`: of any of its routers."""
     law = demo_orders(**orders).rules
     kinds = {n: s.engine.kind for n, s in fleet.standins.items()}
@@ -241,5 +244,5 @@
         {n: (k.cold_from, k.cold_for, k.fall_multiple, k.fall_window) for n, k in kinds.items()},
         {name: (c["group"], int(c["window_s"] * S)) for name, c in USE_CASES.items() if "window_s" in c},
         [(n, a, b if b is not None else 1 << 62) for n, s in fleet.standins.items() for a, b in s.unreachable],
-        [(r.number, a, b) for r in routers for a, b in getattr(r, "away", ())], beat.stood,
+        [(r.number, a, b) for r in routers for a, b in getattr(r, "away", ())], starving.starved, beat.stood,
         int(law.drain_grace_s * S), int(law.let_go_within_s * S), 4)
--- a/ramppulley/load/stormreport.py
+++ b/ramppulley/load/stormreport.py
@@ -83,6 +83,8 @@
         "datagrams_s": round(sum(playing.count.get(n, 0) for n in names) / playing.took / len(names), 1),
         "bytes_most_s": round(max((playing.bytes.get(n, 0) for n in names), default=0) / playing.took),
         "stood_s": round(sum(b - a for a, b in evidence.stood) / 10_000, 2),
+        "starved_most_s": round(max((sum(b - a for who, a, b in evidence.starved if who == r.number) for r in routers),
+                                    default=0) / 10_000, 2),
         "twice": sum(event == "a name twice" for _, _, event, _ in logs),
         "service_least": told.service_least, "strangers": strangers(playing, logs),
         "faults": sum(event in ("module fault", "subsets not worked out") for _, _, event, _ in logs),
--- a/ramppulley/load/stormrun.py
+++ b/ramppulley/load/stormrun.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from random import Random
 
-from ramppulley.load.beat import Beat
+from ramppulley.load.beat import Beat, Starving
 from ramppulley.load.day import arrivals
 from ramppulley.load.run import ProcessRouter, ended, fleet_of, gathered, let_go, one, orders_of
 from ramppulley.load.storm import LINKS, drawn, link_of, pairs
@@ -161,12 +161,14 @@
         for number in range(storm.routers):
             self.make(number)
         beat = Beat()
+        starving = Starving(lambda: {r.number: r.process.pid for r in self.routers.values() if r.alive()})
         gc.collect()
         gc.freeze()
         try:
             await asyncio.gather(*(self.begin(r) for r in list(self.routers.values())))
             await asyncio.sleep(storm.warm_s if storm.peers else 0.0)
             beat.start()
+            starving.start()
             troubles, start = Troubles(fleet, storm.seed), loop.time() + 0.1
             self.began = time.time() + 0.1
             self.cpu_before = {r.name: self._cpu(r) for r in self.routers.values()}
@@ -197,9 +199,10 @@
                 task.cancel()
             await asyncio.gather(*(r.stop() for r in self.routers.values() if r.process), return_exceptions=True)
             await beat.stop()
+            await starving.stop()
             self.relay.stop()
             await ended(fleet)
-        evidence = gathered(asked, fleet, [*self.routers.values(), *self.lasting], beat, orders_of(storm))
+        evidence = gathered(asked, fleet, [*self.routers.values(), *self.lasting], beat, orders_of(storm), starving)
         missed = len(plan) - len(asked)
         return evidence, missed
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -101,6 +101,8 @@
     assert found(read, write, held=[held], one=one) == [5]
     assert found(read, write, held=[held], one=one, stood=[(1100, 6900)]) == []
     assert found(read, write, held=[held], one=one, stood=[(1100, 2000), (8000, 20_000)]) == [5]
+    assert found(read, write, held=[held], one=one, starved=[(0, 1100, 5000), (0, 4000, 6900)]) == []
+    assert found(read, write, held=[held], one=one, starved=[(1, 1100, 6900)]) == [5]
     late = sent(2 * S, 3 * S)
     assert found(late, one=asked(how="left")) == [1]
     assert found(late, one=asked(how="left"), stood=[(S, 2 * S)]) == []
