--- a/ramppulley/cluster/subsets.py
+++ b/ramppulley/cluster/subsets.py
@@ -7,7 +7,7 @@
 although subsets are drawn.
 """
 from dataclasses import dataclass
-from math import ceil, log
+from math import ceil, floor, log, log2
 from zlib import crc32
 
 MIX, MIX_MORE, WORD = 0x9E3779B97F4A7C15, 0xD6E8FEB86659FD93, 0xFFFFFFFFFFFFFFFF
@@ -113,7 +113,11 @@
             for zone in {place.zone for place in places}:
                 self.zones[zone] = self.zones.get(zone, 0) + 1
         self.wardens = {} if part >= 1 else {place.mark: self._wardens(place) for place in self.places}
-        self.used = {}
+        self.used, self.mean = {}, sum(p.traffic for p in self.peers) / len(self.peers)
+
+    def part_for(self, peer):
+        """A router of twice, four times ... the mean traffic uses so many times the part: it would overfill its workers."""
+        return min(1.0, self.part * 2 ** max(0, floor(log2(max(peer.traffic, 1e-9) / max(self.mean, 1e-9)))))
 
     def _wardens(self, place):
         sure = [peer.name for peer in self.peers if peer.sure]
@@ -121,7 +125,7 @@
 
     def subset(self, peer):
         """Marks of the workers that this router uses: whole pairs, readers and writers of one cell together."""
-        if self.part >= 1:
+        if self.part_for(peer) >= 1:
             return {place.mark for place in self.places}
         if peer.name not in self.used:
             self.used[peer.name] = self._subset(peer)
@@ -130,12 +134,12 @@
     def _subset(self, peer):
         """Whole cells by their lots, rarer ones of zones that get little of its traffic; parts of them where the list has
         few cells. Nothing here rests on how many workers there are, so that one more or less moves only itself."""
-        mark, taken = self.marks[peer.name], set()
+        mark, taken, part = self.marks[peer.name], set(), self.part_for(peer)
         parts = {cell: max(self.flows.get((peer.zone, place.zone), 0.0) / self.zones[place.zone] for place in places)
                  for cell, places in self.cells.items()}
         order = sorted([cell for cell in parts if parts[cell]], key=lambda c: -log(1 - lot(mark, c)) / parts[c])
-        count = min(len(order), max(CELLS_LEAST, round(self.part * len(self.cells)))) or 1
-        share = min(1.0, self.part * len(self.cells) / count)
+        count = min(len(order), max(CELLS_LEAST, round(part * len(self.cells)))) or 1
+        share = min(1.0, part * len(self.cells) / count)
         for cell in order[:count]:
             for role in ("both", "read", "write"):
                 like = sorted([p for p in self.cells[cell] if p.role == role], key=lambda p: lot(mark, p.mark))
--- a/ramppulley/load/beat.py
+++ b/ramppulley/load/beat.py
@@ -33,7 +33,7 @@
 
 
 def waited(pid):
-    """Seconds that a process's first thread was ready and had no processor, as Linux counts it; None where it is not told."""
+    """`starved`: (number, from, to) of processes that waited for a processor. `pids()` gives {number: pid} now."""
     try:
         with open(f"/proc/{pid}/schedstat") as file:
             return int(file.read().split()[1]) / 1e9
--- a/ramppulley/standin/disk.py
+++ b/ramppulley/standin/disk.py
@@ -1,6 +1,7 @@
 """A disk that lies, under whatever a router keeps. Put in by the rig's own entry point; no setting names it."""
 import errno
 import os
+import time
 from pathlib import Path
 
 from ramppulley.peers.disk import Disk
@@ -14,10 +15,10 @@
 class LyingDisk(Disk):
     """`fault` is one of FAULTS, or "" for a good disk. `chance` is the rig's."""
 
-    FAULTS = ("flush_fails", "flush_lies", "torn", "lost", "flipped", "old", "full", "unreadable")
+    FAULTS = ("flush_fails", "flush_lies", "torn", "lost", "elsewhere", "flipped", "old", "full", "unreadable", "slow")
 
-    def __init__(self, chance, fault=""):
-        self.chance, self.fault, self.unflushed = chance, fault, {}
+    def __init__(self, chance, fault="", slow=5.0):
+        self.chance, self.fault, self.unflushed, self.slow = chance, fault, {}, slow
 
     def read(self, path, most):
         if self.fault == "unreadable":
@@ -33,6 +34,10 @@
 
     def replace(self, path, raw):
         path = Path(path)
+        if self.fault == "slow":
+            time.sleep(self.slow)
+        if self.fault == "elsewhere":
+            path = path.with_name(path.name + ".elsewhere")
         was = super().read(path, 1 << 20)
         if self.fault == "full":
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -1,7 +1,9 @@
 """Stories of several router processes with faults between them, and of what judges them."""
+import asyncio
 from random import Random
 
 import pytest
+from rig import story
 from test_checkers import S, asked
 
 from ramppulley.check import fleetwide
@@ -10,6 +12,8 @@
 from ramppulley.load.storm import Fault, Storm, drawn, pairs
 from ramppulley.load.stormreport import good, verdict
 from ramppulley.standin.links import Link, Links
+from ramppulley.standin.streams import StreamRelay
+from ramppulley.wire.sockets import Listener, connect
 
 STREAMS = [Stream(use_case="afloat", per_s=20), Stream(use_case="booking", per_s=6)]
 
@@ -87,3 +91,56 @@
             Fault(**bad)
     with pytest.raises(ValueError, match="64 are the most"):
         Storm(name="s", streams=STREAMS, routers=40, faults=[Fault(what="add", at_s=1, count=30)])
+
+
+async def relayed():
+    """An echo behind a relay, and the relay."""
+    async def echo(wire):
+        while data := await wire.receive():
+            await wire.send(data)
+    listener = Listener(echo).start()
+    relay = StreamRelay(Links(Random(1)), "a", "b", ("127.0.0.1", listener.port)).start()
+    return listener, relay, await connect("127.0.0.1", relay.port, 1.0)
+
+
+@story
+async def test_a_stream_passes_whole_late_and_not_at_all_while_its_link_stalls():
+    listener, relay, wire = await relayed()
+    await wire.send(b"one")
+    assert await wire.receive() == b"one"
+    relay.change(("a", "b"), delay=1000)
+    before = asyncio.get_running_loop().time()
+    await wire.send(b"two")
+    assert await wire.receive() == b"two" and asyncio.get_running_loop().time() - before >= 0.1
+    relay.change(("b", "a"), stalled=True)
+    await wire.send(b"three")
+    answer = asyncio.ensure_future(wire.receive())
+    await asyncio.sleep(0.25)
+    assert not answer.done()
+    relay.change(("b", "a"), stalled=False)
+    assert await answer == b"three"
+    wire.close()
+    await relay.stop()
+    await listener.stop()
+
+
+@story
+async def test_a_half_open_stream_says_nothing_and_a_cut_one_is_reset():
+    listener, relay, wire = await relayed()
+    relay.change(("a", "b"), half_open=True)
+    await wire.send(b"lost")
+    answer = asyncio.ensure_future(wire.receive())
+    await asyncio.sleep(0.1)
+    assert not answer.done()
+    relay.change(("a", "b"), half_open=False, cut=True)
+    with pytest.raises(OSError):
+        if not await answer:
+            raise ConnectionResetError
+    again = await connect("127.0.0.1", relay.port, 1.0)
+    with pytest.raises(OSError):
+        if not await again.receive():
+            raise ConnectionResetError
+    again.close()
+    wire.close()
+    await relay.stop()
+    await listener.stop()
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -7,7 +7,8 @@
 from ramppulley.load.rings import KINDS, Ours, Rendezvous, changed, fairness, fleet, routers, table
 
 
-@pytest.mark.parametrize("count, shape", [(24, (4, 3, 3)), (64, (8, 4, 4)), (64, (1, 32, 32)), (230, (16, 8, 8))])
+@pytest.mark.parametrize("count, shape", [(24, (4, 3, 3)), (64, (8, 4, 4)), (64, (1, 32, 32)), (64, (16, 8, 8)),
+                                          (230, (16, 8, 8))])
 def test_the_most_loaded_worker_has_little_more_than_its_part_also_with_one_router_of_ten_times_the_traffic(count, shape):
     for uneven in (1.0, 10.0):
         assert fairness(Ours, routers(count, uneven), fleet(*shape))[0] <= 1.15
