--- a/ramppulley/load/run.py
+++ b/ramppulley/load/run.py
@@ -92,7 +92,7 @@
     def __init__(self, orders, folder, policy="module"):
         self.reserved, self.number = reserved(), int(orders["name"][1:])
         self.port = self.reserved.getsockname()[1]
-        self.name, self.folder, self.policy, self.killed_at = orders["name"], Path(folder), policy, []
+        self.name, self.folder, self.policy, self.killed_at, self.away = orders["name"], Path(folder), policy, [], []
         self.path = self.folder / f"{self.name}.json5"
         checked = demo_orders(**orders | {"listen": {"port": self.port}}).model_dump(exclude_none=True)
         self.path.write_text(json.dumps(checked))
@@ -109,9 +109,11 @@
             raise RuntimeError(f"the router did not start: {(self.folder / f'{self.name}.log').read_text()[-2000:]}")
 
     async def kill(self):
-        self.killed_at.append(int(time.monotonic() * S))
+        at = int(time.monotonic() * S)
+        self.killed_at.append(at)
         self.process.kill()
-        await self.process.wait()
+        await self.process.wait()       # on a busy machine its sockets take connections until then
+        self.away.append((at, int(time.monotonic() * S)))
 
     async def stop(self):
         if self.process.returncode is None:
--- a/ramppulley/load/stormrun.py
+++ b/ramppulley/load/stormrun.py
@@ -54,7 +54,7 @@
         super().__init__(orders, folder)
         self.number, self.relay, self.seed, self.udp, self.fault = number, relay, storm.seed, port, ""
         self.mutant = mutant
-        self.away, self.process, self.cpu, self.told, self.ends = [], None, 0.0, 0, []
+        self.process, self.cpu, self.ends = None, 0.0, []
 
     async def start(self):
         log = open(self.folder / f"{self.name}.log", "ab")  # noqa: ASYNC230
