--- a/ramppulley/load/storm.py
+++ b/ramppulley/load/storm.py
@@ -11,7 +11,7 @@
 from ramppulley.load.day import Day, Part
 from ramppulley.standin.disk import LyingDisk
 
-ROUTERS = {"kill", "lose", "pause", "end", "roll", "add", "remove", "twice", "clock", "disk"}
+ROUTERS = {"kill", "lose", "pause", "end", "roll", "add", "remove", "twice", "clock", "disk", "noise"}
 LINKS = {"cut", "drop", "delay", "jitter", "double", "reorder", "stall", "bandwidth"}
 
 
@@ -19,10 +19,11 @@
     """One fault. `who`: routers by shell pattern, of which `part` is drawn, or `count`.
 
     Of links: from `who` to `to`, and back unless `one_way`. `size`: seconds of a delay, jitter or clock's step; part of
-    datagrams dropped, doubled or reordered; bytes a second of a bandwidth. `disk`: how a disk lies from the next start on.
+    datagrams dropped, doubled or reordered; bytes a second of a bandwidth; datagrams a second of noise: spoilt, replayed,
+    of another cluster or version, too long. `disk`: how a disk lies from the next start on.
     """
-    what: Literal["kill", "lose", "pause", "end", "roll", "add", "remove", "twice", "clock", "disk", "cut", "drop", "delay",
-                  "jitter", "double", "reorder", "stall", "bandwidth"]
+    what: Literal["kill", "lose", "pause", "end", "roll", "add", "remove", "twice", "clock", "disk", "noise", "cut",
+                  "drop", "delay", "jitter", "double", "reorder", "stall", "bandwidth"]
     at_s: float = Field(ge=0)
     for_s: float = Field(1.0, ge=0)             # of kill, lose, end: till it is started again; 0 = never
     who: str = "*"
@@ -41,7 +42,7 @@
             raise ValueError(f"disk: none of {', '.join(LyingDisk.FAULTS)}")
         if self.what in ("drop", "double", "reorder") and not 0 < self.size <= 1:
             raise ValueError(f"{self.what} needs size, a part over 0 up to 1")
-        if self.what in ("delay", "jitter", "bandwidth", "clock") and self.size <= 0:
+        if self.what in ("delay", "jitter", "bandwidth", "clock", "noise") and self.size <= 0:
             raise ValueError(f"{self.what} needs size over 0")
         return self
 
--- a/ramppulley/load/stormrun.py
+++ b/ramppulley/load/stormrun.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from random import Random
 
+from ramppulley.cluster.seal import Seal
 from ramppulley.load.beat import Beat, Starving
 from ramppulley.load.day import arrivals
 from ramppulley.load.run import ProcessRouter, ended, fleet_of, gathered, let_go, one, orders_of
@@ -23,6 +24,7 @@
 S = 10_000
 UDP_PORTS = range(20_000, 32_000)       # under those that the kernel gives out, so that nobody else is given them
 START_WITHIN = 90.0                     # of 64 at once, on a machine that is busy
+NOISE_EACH = 0.01                       # seconds between two handfuls of noise
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -297,12 +299,38 @@
         for router in hit:
             router.tell(clock=fault.size)
 
+    async def _noise(self, fault, hit):
+        """What is not to be believed, at each of them: `size` datagrams a second, of what crossed before and of strangers'."""
+        chance, loop = Random(f"{self.storm.seed} noise"), asyncio.get_running_loop()
+        stranger = Seal("elsewhere", (self.folder / "key").read_bytes(), "stranger", chance)
+        until, sent = loop.time() + fault.for_s, 0
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            while loop.time() < until:
+                crossed = list(self.relay.crossed)
+                for router in hit:
+                    for _ in range(max(1, int(fault.size * NOISE_EACH))):
+                        sock.sendto(noise(chance, stranger, crossed), ("127.0.0.1", router.udp))
+                        sent += 1
+                await asyncio.sleep(NOISE_EACH)
+        self.say(f"        {sent} datagrams of noise")
+
     async def _disk(self, fault, hit):
         for router in hit:
             router.fault = fault.disk
             router.tell(disk=fault.disk)
 
 
+def noise(chance, stranger, crossed):
+    """One datagram that no router may believe."""
+    raw = chance.choice(crossed) if crossed else b""
+    kind = chance.randrange(6)
+    if kind == 0 or len(raw) < 8:
+        return stranger.seal("members", chance.randbytes(200))
+    at = chance.randrange(len(raw))
+    return [raw, raw[:at], raw + chance.randbytes(1400), raw[:2] + b"\x63" + raw[3:],
+            raw[:at] + bytes([raw[at] ^ 1 << chance.randrange(8)]) + raw[at + 1:]][kind - 1]
+
+
 def logged(folder):
     """[(time, router, event, fields)] of all routers' logs."""
     from datetime import datetime
--- a/ramppulley/standin/links.py
+++ b/ramppulley/standin/links.py
@@ -3,6 +3,7 @@
 One vocabulary for the rig and the simulation. Times: tenths of a millisecond. One seed, one fate for the same datagrams.
 """
 import struct
+from collections import deque
 from dataclasses import dataclass, replace
 
 from ramppulley.cluster.seal import head_of
@@ -69,6 +70,7 @@
     def __init__(self, links, clock):
         self.links, self.clock, self.names, self.loop = links, clock, {}, None
         self.lives = set()              # (name, life, incarnation) of all that crossed
+        self.crossed = deque(maxlen=512)        # the last ones whole, to be played again
         self.sock = bound("127.0.0.1", 0)
         self.port = self.sock.getsockname()[1]
 
@@ -85,6 +87,7 @@
                 return
             port, data = HEAD.unpack_from(raw)[0], raw[HEAD.size:]
             pair = self.names.get(source, str(source)), self.names.get(port, str(port))
+            self.crossed.append(data)
             if (head := head_of(data)) is not None:
                 self.lives.add((pair[0], head.life, head.incarnation))
             for wait in self.links.fate(pair, self.clock(), data):
