--- a/ramppulley/cli/main.py
+++ b/ramppulley/cli/main.py
@@ -65,7 +65,8 @@
                                                               "random, least")] = "module"):
     """Run the router alone, by a settings file."""
     orders = orders_of(settings)
-    uvloop.run(run(Daemon(orders, logs(orders.log), settings.parent, policy_of(policy))))
+    edges = {"where": str(settings)} if orders.peers else {}
+    uvloop.run(run(Daemon(orders, logs(orders.log), settings.parent, policy_of(policy), **edges)))
 
 
 def policy_of(name):
--- a/ramppulley/load/stormrun.py
+++ b/ramppulley/load/stormrun.py
@@ -300,7 +300,7 @@
             router.tell(clock=fault.size)
 
     async def _noise(self, fault, hit):
-        """What is not to be believed, at each of them: `size` datagrams a second, of what crossed before and of strangers'."""
+        """What is not to be believed, at each of them: `size` datagrams a second, what crossed before, and strangers'."""
         chance, loop = Random(f"{self.storm.seed} noise"), asyncio.get_running_loop()
         stranger = Seal("elsewhere", (self.folder / "key").read_bytes(), "stranger", chance)
         until, sent = loop.time() + fault.for_s, 0
--- a/ramppulley/peers/datagrams.py
+++ b/ramppulley/peers/datagrams.py
@@ -60,19 +60,20 @@
         self._turn()
 
     def _turn(self):
-        now, due = self.clock.now(), None
-        for kind, machine in self.machines.items():
-            if machine.due() <= now:
-                machine.tick(now)
-            for address, payload in machine.out:
-                self._send(address, self.seal.seal(kind, payload))
-            machine.out.clear()
-            due = machine.due() if due is None else min(due, machine.due())
-        self.told()
+        now, due = self.clock.now(), TENTHS
         if self.timer is not None:
             self.timer.cancel()
-        wait = max(LEAST_WAIT, due - now) if due is not None else TENTHS
-        self.timer = self.loop.call_later(wait / TENTHS, self._turn)
+        try:
+            for kind, machine in self.machines.items():
+                if machine.due() <= now:
+                    machine.tick(now)
+                for address, payload in machine.out:
+                    self._send(address, self.seal.seal(kind, payload))
+                machine.out.clear()
+            self.told()
+            due = max(LEAST_WAIT, min([machine.due() for machine in self.machines.values()], default=now + TENTHS) - now)
+        finally:                        # also after a fault in a machine: the others are to be heard of again
+            self.timer = self.loop.call_later(due / TENTHS, self._turn)
 
     def turn(self):
         """A machine was told something from outside the socket."""
