--- a/ramppulley/standin/mutants.py
+++ b/ramppulley/standin/mutants.py
@@ -10,9 +10,8 @@
 
 
 def unguarded():
-    """All routers use the same part of the list: nobody minds who is left out."""
-    subsets.mark_of = lambda name: 7
-    subsets.WARDENS = 0
+    """All routers use the same half of the list, and never look beyond it: nobody minds who is left out."""
+    subsets.View.subset = lambda view, peer: {place.mark for cell in sorted(view.cells)[::2] for place in view.cells[cell]}
     caged()
 
 
