Reread: what decides a subset's weights and told traffic is in the pure module; dead state out

The daemon held a normalisation with a tuned least weight and the band of told traffic: both are cluster/subsets.py's now, with a doctest. Removed: a set that nothing filled, a copy of a list; a docstring promised a judge that is not there.

--- a/ramppulley/cluster/subsets.py
+++ b/ramppulley/cluster/subsets.py
@@ -18,6 +18,8 @@
 ZONE_SLACK = 1.1                # a zone's workers may get so many times their even part before its routers use other zones'
 STEPS = 16                      # of what a zone keeps: traffic that moves a little moves no subset
 ROUNDS = 12                     # of fitting; measured: the most loaded is within 1.02 after 8
+WEIGHT_LEAST = 1e-3             # of a worker that is used at all
+TRAFFIC_BAND = 0.75             # powers of two that a router's traffic moves before it is told anew: no flapping there
 KEPT_AT = 0.8                   # a part is kept down to this part of what taking it up needs: no flapping at its edge
 
 
@@ -56,6 +58,16 @@
     return (mixed >> 11) / 2 ** 53
 
 
+def traffic_of(rate, before):
+    """Questions a second as a power of two, `before` while the rate stays near it.
+
+    >>> traffic_of(0.1, 0), traffic_of(40, 0), traffic_of(45, 5), traffic_of(60, 5)
+    (0, 5, 5, 6)
+    """
+    level = log2(max(1.0, rate))
+    return round(level) if abs(level - before) > TRAFFIC_BAND else before
+
+
 def part_of(routers, workers, least, before=1.0):
     """The part of the list that a router uses: 1, 1/2, 1/4 ... so that each worker has COVERED routers and each router
     `least` workers. `before`: the part so far, which is kept in a band so that one that flaps moves nothing.
@@ -171,6 +183,15 @@
                 found[name] = found[name] | {mark: part * asked[name] / traffic[name] for mark, part in row.items()}
         return found
 
+    def weights(self, name):
+        """{mark: weight} of what this router uses: the list's own weights of each role, moved between them by its shares."""
+        row, found = self.shares()[name], {}
+        for writes in (False, True):
+            some = [p for p in self.places if p.mark in row and (p.role != "read") == writes]
+            whole, shares = sum(p.weight for p in some), sum(row[p.mark] for p in some) or 1.0
+            found |= {p.mark: max(WEIGHT_LEAST, row[p.mark] / shares * whole) for p in some}
+        return found
+
 
 def fitted(traffic, used, rounds):
     """{router: {mark: part}}: rows add up to 1, and each worker gets so much as it is heavy, as far as `used` lets it.
--- a/ramppulley/daemon/cluster.py
+++ b/ramppulley/daemon/cluster.py
@@ -1,6 +1,5 @@
 """Joins the machines of `cluster/` to one router: sockets, snapshot, and the subset that the module is told of."""
 import asyncio
-from math import log2
 from random import SystemRandom
 from zlib import crc32
 
@@ -10,7 +9,7 @@
 from ramppulley.cluster.members import Budget, Members
 from ramppulley.cluster.seal import KEY_LEAST, KEY_MOST, Seal
 from ramppulley.cluster.showing import BURST, PER_SECOND, Showing
-from ramppulley.cluster.subsets import Peer, Place, View, part_of
+from ramppulley.cluster.subsets import Peer, Place, View, part_of, traffic_of
 from ramppulley.daemon.json5 import BadFile
 from ramppulley.peers.datagrams import Datagrams, bound
 from ramppulley.peers.disk import Disk
@@ -141,15 +140,15 @@
                     self.log.exception("subsets not worked out")
 
     def _count(self):
-        """Our own traffic as a power of two, told anew where it moved by more than the half of a step."""
+        """Our own traffic, coarsely, told anew where it moved."""
         now, taken = self.clock.now(), self.taken()
         if now - self.last_at < 5 * TENTHS:
             return
         rate = (taken - self.last_taken) * TENTHS / (now - self.last_at)
         self.last_taken, self.last_at = taken, now
-        level = log2(max(1.0, rate))
-        if abs(level - self.members.traffic) > 0.75:
-            self.members.told_traffic(round(level))
+        level = traffic_of(rate, self.members.traffic)
+        if level != self.members.traffic:
+            self.members.told_traffic(level)
             self.changed = True
             self.datagrams.turn()
 
@@ -170,14 +169,7 @@
         found = {}
         for pool, places in pools.items():
             part = part_of(len(peers), len(places), self.told.subset.workers_least, before.get(pool, 1.0))
-            weights = {}
-            if part < 1:
-                row = View(peers, places, part).shares()[own.name]
-                for writes in (False, True):
-                    some = [p for p in places if p.mark in row and (p.role != "read") == writes]
-                    whole, shares = sum(p.weight for p in some), sum(row[p.mark] for p in some) or 1.0
-                    weights |= {p.mark: max(1e-3, row[p.mark] / shares * whole) for p in some}
-            found[pool] = part, weights
+            found[pool] = part, View(peers, places, part).weights(own.name) if part < 1 else {}
         return found
 
     def _apply(self, found):
--- a/ramppulley/load/stormreport.py
+++ b/ramppulley/load/stormreport.py
@@ -43,10 +43,7 @@
 
 
 def strangers(playing, logs):
-    """Ends and returns that break what the rig knows: a router counted out by all for good, or one incarnation in two lives.
-
-    Incarnations are read from what crossed the relay, not from the routers' word.
-    """
+    """Each incarnation that was used in two lives, read from what crossed the relay and not from the routers' word."""
     lives, found = {}, []
     for name, life, incarnation in playing.relay.lives:
         if incarnation and lives.setdefault((name, incarnation), life) != life:
@@ -62,7 +59,7 @@
     roles = {n: s.engine.kind.role for n, s in playing.fleet.standins.items() if s.engine.kind.role != "pool"}
     wanted = sum(a.benefit for a in evidence.asked if a.how != "left")
     mean, most = fleetwide.spread(evidence, roles)
-    routers = [r for r in playing.routers.values()]
+    routers = list(playing.routers.values())
     first, last, wrong = noticed(playing, logs) if told.peers else (None, None, 0)
     cpu = sum(r.cpu - playing.cpu_before.get(r.name, 0.0) for r in routers)
     start = min((a.sent for a in evidence.asked), default=0)
--- a/ramppulley/load/stormrun.py
+++ b/ramppulley/load/stormrun.py
@@ -137,7 +137,7 @@
         self.mutant = mutant
         self.links = Links(Random(f"{storm.seed} links"))
         self.relay = Relay(self.links, lambda: int(time.monotonic() * S))
-        self.chance, self.ports, self.lasting, self.events = Random(os.getpid()), set(), set(), []
+        self.chance, self.ports, self.events = Random(os.getpid()), set(), []
 
     def make(self, number, name=None):
         port = udp_port(self.ports, self.chance)
@@ -204,7 +204,7 @@
             await starving.stop()
             self.relay.stop()
             await ended(fleet)
-        evidence = gathered(asked, fleet, [*self.routers.values(), *self.lasting], beat, orders_of(storm), starving)
+        evidence = gathered(asked, fleet, list(self.routers.values()), beat, orders_of(storm), starving)
         missed = len(plan) - len(asked)
         return evidence, missed
 
