No attempt begins for a client that has gone: a last look before its first byte

The front's watch sees a close some turns of the loop late (receive, its task, the wait, the front's task: about as many as from a worker's answer to the next attempt's write). A close that came in the same turn as the event that causes an attempt, or in a late turn, was therefore followed by the attempt.

Cause checked: with the client's close and a worker's answer pending in one turn, the next attempt was written each time, after a loop 120 ms late as well. Ruled out: asking the watch's result besides. After a reset that the watch has read a peek still gives the end, so the socket alone tells (measured on Linux).

Change: `Sender._send` asks `Sink.gone()` after all waits and right before the first byte, one system call an attempt. If so the core is told, the attempt is `stale`, the untouched connection goes back to rest. The platform front peeks, and bytes stop the attempt too; they still get their 400, also where the look ended the request first. The OpenAI front polls for a hang-up, since a next request may lie before the end. A request read after our own end of its resting connection is not sent on any more either.

--- a/ramppulley/engines/sending.py
+++ b/ramppulley/engines/sending.py
@@ -137,6 +137,10 @@
                 await self._before(out)
                 wire = await connections.get(min(self.connect_within, out.time_out / TENTHS), connects)
                 request = self._request(out, connections)
+                if out.life.sink.gone():        # the last look: no wait lies between it and the first byte
+                    core.left(out.life)
+                    whole = True                # nothing was written: the connection is as good as before
+                    return End(proof.of(out.stage, proof.WITHDRAWN), "the client left")
                 out.stage = proof.WRITE
                 await wire.send(request)
                 out.stage = proof.WAIT
--- a/ramppulley/fronts/http/server.py
+++ b/ramppulley/fronts/http/server.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import itertools
+import select
 
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -39,6 +40,14 @@
             return
         await self.pass_on(sse.event(data))
 
+    def gone(self):
+        """Here a next request may wait before the end, which hides it from a peek but not from a poll."""
+        if self.done.done():
+            return True
+        poll = select.poll()
+        poll.register(self.wire.sock, select.POLLRDHUP)     # errors and hang-ups are told unasked
+        return bool(poll.poll(0))
+
     def head(self):
         return http.answer_head(200, {"content-type": "text/event-stream; charset=utf-8", "cache-control": "no-cache",
                                       "x-request-id": self.ask.name})
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -161,15 +161,20 @@
                 waits = {sink.done} if spoke else {sink.done, conn.watched()}
                 await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
                 if not spoke and conn.watch.done():
-                    if not conn.taken() and not sink.done.done():
+                    spoke = bool(conn.taken())
+                    if not spoke and not sink.done.done():
                         return False            # the client left
-                    spoke = True
-                    if not sink.begun and not sink.done.done():
-                        self.core.left(life)
-                        await self._refuse(conn, 400, "one request at a time")
-                        return False
+                    if spoke and not sink.begun:
+                        self.core.left(life)    # no effect after an ending
             ending = sink.done.result()
-            if ending.how == LEFT or sink.busy:
+            if ending.how == LEFT:      # just now, or by the last look before an attempt, which reads nothing
+                if not spoke:
+                    await asyncio.wait({conn.watched()}, timeout=LINGER)
+                    spoke = conn.watch.done() and bool(conn.taken())
+                if spoke:
+                    await self._refuse(conn, 400, "one request at a time")
+                return False
+            if sink.busy:
                 return False
             keep = keep and not spoke and not self.closing
             if ending.how == FULFILLED:
--- a/ramppulley/fronts/reading.py
+++ b/ramppulley/fronts/reading.py
@@ -78,6 +78,11 @@
             await self.wire.send(out)
         self.busy = False
 
+    def gone(self):
+        """By the socket, as the watch runs some turns behind. Who spoke out of turn counts as gone: what it
+        sent may hide its end."""
+        return self.done.done() or not self.wire.idle()
+
     def final(self, ending):
         if not self.done.done():
             self.done.set_result(ending)
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -117,6 +117,9 @@
     async def piece(self, data: bytes) -> None:
         """Passes one event's data on; returns when the client's socket took it. Raises OSError: the client left."""
 
+    def gone(self) -> bool:
+        """Whether nobody waits for an answer any more; asked just before each attempt's first byte."""
+
     def final(self, ending: Ending) -> None:
         """Called exactly once, and nothing after it."""
 
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -35,6 +35,9 @@
     async def piece(self, data):
         self.pieces.append(data)
 
+    def gone(self):
+        return False
+
 
 def whole(status, body, **headers):
     return http.answer(status, {"content-type": "application/json", **headers}, body)
