A prefix has one home in the whole fleet where a writer's cell has few readers

Ruled out: writers (45 ms), the line, refusals by workers (none were full), links. Cause: five of twenty cells have a writer. `uses_others` kept 1.5 times the even share of a writer's sessions at its own few readers and gave the rest to other cells', drawn with the same weight (0.1) whether the cell had writers or none: cells with a writer read 2.2 times the mean. And each prefix had a favourite for each cell and for each zone, eight in all: read eight times, kept eight times. Lines: Desk.uses_others, Desk.pair, Roster.reach and Draws.other. Change: where the cell is short of readers, all its questions use readers of all cells, drawn by the prefix over the whole list without zone; other cells' readers are drawn by the part that their own writers leave. The two loops of `pair` over readers are one.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -109,15 +109,17 @@
 class Roster:
     """Ready workers by role, and each cell's reach: its part of all readers over its part of all writers.
 
+    `near`: how many times their even share a cell's readers serve its writers; one that needs more is short of readers.
+
     >>> from types import SimpleNamespace as N
     >>> def worker(role, cell):
     ...     return N(state="ready", writes=role != "read", box=N(role=role, cell=cell, zone=0, weight=1, mark=cell))
-    >>> roster = Roster([worker("read", 0), worker("read", 0), worker("write", 0), worker("write", 1)])
-    >>> len(roster.readers), len(roster.writers), roster.reach
-    (2, 2, {0: 2.0, 1: 0.0})
+    >>> roster = Roster([worker("read", 0), worker("read", 0), worker("write", 0), worker("write", 1)], 1.5)
+    >>> len(roster.readers), len(roster.writers), roster.reach, roster.short
+    (2, 2, {0: 2.0, 1: 0.0}, {1})
     """
 
-    def __init__(self, workers):
+    def __init__(self, workers, near):
         ready, self.by_role, self.cells = [w for w in workers if w.state == "ready"], {}, {}
         for worker in ready:
             self.by_role.setdefault(worker.box.role, []).append(worker)
@@ -129,10 +131,13 @@
             if worker.writes:
                 self.cells.setdefault(worker.box.cell, []).append(worker)
         read, write = (sum(part.values()) or 1 for part in weight)
-        self.reach = {cell: weight[0].get(cell, 0) / read * write / (weight[1].get(cell, 0) or write)
+        self.reach = {cell: weight[0].get(cell, 0) / read * write / (weight[1].get(cell, 0) or 1e-9)
                       for cell in {**weight[0], **weight[1]}}
+        self.short = {cell for cell, reach in self.reach.items() if reach * near < 1}
+        # the part of a cell's readers that its own writers leave to others: all where those use the whole fleet's
+        spare = {cell: 1.0 if cell in self.short else max(0.1, 1 - 1 / reach) for cell, reach in self.reach.items()}
         self.reads_drawn, self.writes_drawn = (draws_of(tuple(
-            [(w.box.mark, w.box.weight, w.box.cell, w.box.zone, self.reach[w.box.cell]) for w in some]))
+            [(w.box.mark, w.box.weight, w.box.cell, w.box.zone, spare[w.box.cell]) for w in some]))
             for some in (self.readers, self.writers))
 
     def like(self, worker):
@@ -201,11 +206,12 @@
         return known[what]
 
     def other(self, key, cell, zone, times):
-        """Those of other cells, rarer by their cell's want of readers, and so many times so from another zone."""
+        """Those of other cells (of all where `cell` is None), rarer where little is left to others, and so many times
+        so from another zone."""
         known, what = self.kept(key), (cell, zone)
         if what not in known:
-            lots = [lot / max(0.1, reach - 1) * (1 if its == zone else times)
-                    for lot, (_, _, _, its, reach) in zip(self.lots(key), self.told)]
+            lots = [lot / spare * (1 if its == zone else times)
+                    for lot, (_, _, _, its, spare) in zip(self.lots(key), self.told)]
             known[what] = tuple(sorted([i for i, told in enumerate(self.told) if told[2] != cell],
                                        key=lots.__getitem__))
         return known[what]
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -14,7 +14,7 @@
 from ramppulley.door import (
     CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, STALE, TOO_SLOW)
 from ramppulley.parts import (
-    Actor, Figures, Kept, Roster, Samples, Send, busiest, lot, mean, middle, nudged)
+    Actor, Figures, Kept, Roster, Samples, Send, busiest, mean, middle, nudged)
 
 MS = 10                         # tenths of a millisecond
 SHORT_LIST, DRAWN = 5, 8        # writers kept; drawn to be looked at: all of a small fleet
@@ -27,10 +27,10 @@
 MISSED_WEIGHT, TRIAL_BONUS = 0.25, 1.0  # pair score of each probe not answered; of a trial due without probes
 FAR_CELL, FAR_AFTER = 0.3, 0.25         # of a reader of another cell, seen when the own ones take this part
 FAR_ZONE, OTHER_ZONE = 0.08, 4  # pair score of another zone, in promised times; times rarer it is drawn
-NEAR_REACH = 1.5                # a cell's readers serve its writers up to this many times their even share
 MEMORY_WEIGHT, SLOW_WEIGHT = 0.6, 0.5   # pair score of a full writer; of one at half the promised pace
 UNREAD_WEIGHT, HELD_TOKENS = 1.0, 300   # pair score of reading time itself; tokens' worth of a question held
 REFUSED_WEIGHT, REFUSED_FOR = 0.5, 20_000 * MS  # pair score where the like was turned away; fading over
+NEAR_REACH = 1.5                # a cell's readers serve its writers up to this many times their even share
 FAVOURED, HOME = 0.5, 0.5       # of the prefix a favourite may lack; of a session's text it holds at home
 SELF_READ = 0.15                # prompts read within this part of the promised time are short for a mixed one
 TRIAL_AFTER, TRIAL_MOST = 500 * MS, 4000 * MS   # a doubted worker's first trial; then doubling up to
@@ -315,10 +315,10 @@
         self.sends, self.out, self.tried, self.writers, self.maybe_ran = 0, [], [], [], []
         self.held_by, self.place, self.closed, self.streams = None, None, False, False
         self.idle = self.arrived                # since when it has had nothing out
-        self.draws, self.home = [crc32(text.encode()) for text in (slip.prefix or slip.session, slip.session)]
+        self.draws = crc32((slip.prefix or slip.session).encode())
         favoured = slip.prefix_tokens * (1 - FAVOURED / min(router.routers, SPEAKS_FOR))
         self.favoured = [int(favoured + HOME * (slip.prompt - slip.prefix_tokens) * home) for home in (0, 1)]
-        self.lots, self.drawn = {}, (None, None, ())    # its session's, by writer; order, by list and sends
+        self.drawn = None, None, ()             # order, by list and sends
         self.asked, self.look_until = [], 0     # whom it asked for a place or a report; till when it waits
         self.wide = False                       # whether it looks beyond the workers that are used ordinarily
 
@@ -502,8 +502,8 @@
         writers, roster = self.drawn(question), question.roster
         for home in writers[:1]:
             cell = home.box.cell
-            places = (roster.reads_drawn.other(question.draws, cell, home.box.zone, OTHER_ZONE)
-                      if self.uses_others(question, home) else roster.reads_drawn.near(question.draws, cell))
+            places = (roster.reads_drawn.other(question.draws, None, 0, 1) if cell in roster.short
+                      else roster.reads_drawn.near(question.draws, cell))
             writers[1:1] = [roster.readers[i] for i in places[:1]]
         for worker in writers[:LOOKS]:
             if not worker.probing and (not worker.reports or self.now - worker.reports[-1][0] >= PROBE_EVERY):
@@ -623,49 +623,36 @@
         drawn = self.drawn(question)
         ranked = self.scored(question, drawn)   # so each of them has its figures worked out
         across = middle([f for at, f in self.crossed if self.now - at < 2 * FRESH]) or FAR_CELL / 3
-        near, other, plain, liked, best, least, key = {}, {}, {}, {}, None, 0, question.draws
+        rows, plain, liked, best, least, draws = {}, {}, {}, None, 0, roster.reads_drawn
         alone, enough = not roster.readers, FAR_AFTER * scale   # departure: only mixed ones, which read all
         for writer in list(ranked)[:SHORT_LIST]:
-            cell, home, short = writer.box.cell, writer is drawn[0], self.uses_others(question, writer)
-            own, soonest, far = ranked[writer] + (writer in tried), scale, short * FAR_CELL
-            rows, wait = near.get((cell, home)), writer.worked_out.wait
-            if rows is None:
-                readers = self.fit(question, roster.readers, roster.reads_drawn.near(key, cell))
-                rows = near[cell, home] = [liked.get((r, home)) or self.weigh(question, r, liked, home)
-                                           for r in readers[:1]]
-                rows += [plain.get(r) or self.weigh(question, r, plain) for r in readers[1:]]
-            for took, score, reader in rows:
-                if took < soonest:
-                    soonest = took
-                score = score + own + far
-                if best is None or score < least:
-                    best, least = (took + wait, reader, writer), score
+            cell, zone, short = writer.box.cell, writer.box.zone, writer.box.cell in roster.short
+            own, soonest, wait = ranked[writer] + (writer in tried), scale, writer.worked_out.wait
             if writer.reads:
                 took, score, _ = self.weigh(question, writer, plain)
                 if took <= SELF_READ * scale or alone:
-                    soonest, score = min(soonest, took), score + own + 0
+                    soonest, score = min(soonest, took), score + own
                     if best is None or score < least:   # alone: measured to the answer, so it holds the read
                         best, least = (max(took, wait) if alone else took + wait, writer, writer), score
-            if not short and soonest <= enough:
-                continue            # else a departure: its cell's readers are gone, few or far behind
-            place, far = (cell, writer.box.zone), across if short else max(FAR_CELL, across)
-            readers = other.get(place)
-            if readers is None:
-                places = roster.reads_drawn.other(key, cell, writer.box.zone, OTHER_ZONE)
-                readers = other[place] = self.fit(question, roster.readers, places, DRAWN)
-            favourite = True
-            for reader in readers:
-                if favourite:
-                    took, score, _ = liked.get((reader, home)) or self.weigh(question, reader, liked, home)
-                    favourite = False
-                else:
-                    took, score, _ = plain.get(reader) or self.weigh(question, reader, plain)
-                if took < soonest:
-                    soonest = took
-                score = score + own + far
-                if best is None or score < least:
-                    best, least = (took + wait, reader, writer), score
-                if soonest <= enough and not short:
+            # departures: of all cells where its own are few; of others where its own are gone or far behind
+            looks = [(draws.other, (None, 0, 1), across)] if short else [
+                (draws.near, (cell,), 0), (draws.other, (cell, zone, OTHER_ZONE), max(FAR_CELL, across))]
+            for draw, place, distance in looks:
+                home = short or writer is drawn[0]
+                seen = rows.get((place, home))
+                if seen is None:
+                    most = DRAWN if draw == draws.other else None
+                    readers = self.fit(question, roster.readers, draw(question.draws, *place), most)
+                    seen = rows[place, home] = [liked.get((r, home)) or self.weigh(question, r, liked, home)
+                                                for r in readers[:1]]
+                    seen += [plain.get(r) or self.weigh(question, r, plain) for r in readers[1:]]
+                for took, score, reader in seen:
+                    if took < soonest:
+                        soonest = took
+                    score += own + distance * (reader.box.cell != cell)
+                    if best is None or score < least:
+                        best, least = (took + wait, reader, writer), score
+                if soonest <= enough:
                     break
         if best is None:
             return 0, None, None
@@ -673,13 +660,6 @@
         took += CROWD * max(0, middle([w.worked_out.wait for w in ranked]) - figures.wait)
         return took + LATE_PACE * max(0, figures.slowness) * scale, *best[1:]
 
-    def uses_others(self, question, writer):
-        """Whether a question of this writer does not keep to its cell's readers: racks differ."""
-        even, lots = NEAR_REACH * question.roster.reach.get(writer.box.cell, 0), question.lots
-        if even < 1 and writer not in lots:
-            lots[writer] = lot(question.home, writer)
-        return even < 1 and lots[writer] > even
-
     def weigh(self, question, reader, known, home=None):
         """(time, score, reader) of reading there, put into what is known; a favourite (home told) holds most
         of the beginning, at home some own text."""
@@ -714,7 +694,7 @@
         self.host, self.clock, self.due, self.chance = host, now, deque(), Random(seed).random
         self.permits, self.lawbook, self.routers = permits, lawbook, routers
         self.workers, self.questions, self.fleet_figures = {}, {}, {}
-        self.roster = self.usual = Roster(())
+        self.roster = self.usual = Roster((), NEAR_REACH)
         self.busy, self.fresh = set(), deque()  # workers that may owe a first token; questions without
         self.desk, self.tick_at = Desk(self, zone, routers, use_cases, accounts, permits.probes), 0
 
@@ -788,9 +768,9 @@
                     self, box, self.lawbook, self.routers, self.permits.probes, self.chance)
         self.tell(now, *[(self.workers[box], "listed", box.state, box.born) for box in boxes])
         usual = [w for w in self.workers.values() if w.box.usual]
-        self.roster = self.usual = Roster(self.workers.values())
+        self.roster = self.usual = Roster(self.workers.values(), NEAR_REACH)
         if len(usual) < len(self.workers):
-            self.usual = Roster(usual)
+            self.usual = Roster(usual, NEAR_REACH)
         self.tell(now, (self.desk, "listed"))
 
     def told(self, now, boxes):
