--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from fakehost import MS, S, FakeHost, box, fleet
 
 from ramppulley import door
-from ramppulley.parts import DRAWN_KEYS, Draws, lot
+from ramppulley.parts import DRAWN_KEYS, Draws, Roster, lot
 from ramppulley.rules import Question
 
 
@@ -592,3 +592,25 @@
         if host.last(slip)[2] is not known:
             return
     raise AssertionError("the other writer got nothing")
+
+
+def test_a_prefix_has_one_home_where_few_cells_have_writers():
+    """Cells 0 and 1 have a writer and a reader, six others two readers each: whoever is asked, it is read at one place."""
+    boxes = [box(1, "write"), box(2, "write", cell=1), box(3, "read"), box(4, "read", cell=1)]
+    boxes += [box(10 * cell + n, "read", cell=cell, zone=cell % 2) for cell in range(2, 8) for n in range(2)]
+    homes, read_at = {}, []
+    for n in range(60):
+        for text in ("a", "b", "c", "d", f"only {n}"):
+            host = FakeHost(boxes, routers=60, seed=n)
+            read_at.append(host.last(host.ask(prompt=4000, session=f"{n} {text}", prefix=text, prefix_tokens=3500))[2].mark)
+            homes.setdefault(text, set()).add(read_at[-1])
+    assert all(len(homes[text]) == 1 for text in "abcd")
+    assert len(set(read_at)) == 14                      # and nobody is left out, also not those beside a writer
+
+
+def test_readers_that_their_own_writers_need_are_drawn_rarely_by_others():
+    told = [(1, "write", 0), (2, "read", 0), (3, "write", 1), (4, "read", 1), (5, "read", 2)]
+    draws = Roster([SimpleNamespace(state="ready", writes=role == "write", box=box(mark, role, cell))
+                    for mark, role, cell in told], 1.5).reads_drawn
+    firsts = [draws.other(key * 7919, 0, 0, 4)[0] for key in range(400)]
+    assert firsts.count(2) > 8 * firsts.count(1) > 0    # of cell 1, which has a writer, and cell 2, which has none
