KNOWN-RED.txt: tests that fail for a known fault have to fail

A fault that is found and not yet mended needs its failing test in the tree, without a red run that hides the next fault, and without a mark that nobody takes out again.

Change: a plugin of pytest (tests/known_red.py, loaded by conftest.py at the root) reads the list.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,2 @@
+"""For all tests, of `tests/` and of the doctests."""
+pytest_plugins = ["known_red"]
