--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -10,7 +10,6 @@
 import sys
 import time
 
-import msgspec
 import uvloop
 
 from ramppulley.engines.connections import Budget
@@ -65,10 +64,10 @@
     """The configuration's object; raises Unusable."""
     try:
         with open(path, "rb") as file:
-            told = msgspec.json.decode(file.read())
+            told = platform.decode(file.read())
     except OSError as fault:
         raise Unusable(f"configuration {path}: {fault.strerror}") from fault
-    except msgspec.DecodeError as fault:
+    except BadMessage as fault:
         raise Unusable(f"configuration {path}: {fault}") from fault
     if not isinstance(told, dict):
         raise Unusable(f"configuration {path}: no object")
@@ -206,8 +205,8 @@
         await node.start()
     except OSError as fault:
         raise Unusable(f"cannot listen on {told['listen']}: {fault.strerror}") from fault
-    gc.collect()
-    gc.freeze()                 # what the start made stays: no full collection walks it again
+    gc.freeze()                 # what the start made stays, the little rubbish too: no collection walks it
+    gc.enable()
     gc.set_threshold(5_000, 10, 20)     # what is left is small: collected often, it does not grow
     await stopping.wait()
     await node.stop()
