An entry that cannot be read ends no worker; nonsense in list and configuration is told in one line

Need: discovery that tells nonsense; now that each watch asks for the whole list, more of its entries are read again.

Cause: an entry that was passed over on a whole list counted as not named, so that its worker was gone. A share of NaN or under 0 went to the weighted draw as it came. Text nested too deep, and a port of other digits (or 5,000 of them), raised errors that nobody caught: in the watch as a fault of ours, on SIGHUP in the signal's handler, at the start as a trace.

Change: a worker whose entry cannot be read stays as it was; a share has to be a number over 0; the two errors are bad input.

Seen to fail: each of the five undone.

--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -68,7 +68,7 @@
             told = msgspec.json.decode(file.read())
     except OSError as fault:
         raise Unusable(f"configuration {path}: {fault.strerror}") from fault
-    except msgspec.DecodeError as fault:
+    except (msgspec.DecodeError, RecursionError) as fault:
         raise Unusable(f"configuration {path}: {fault}") from fault
     if not isinstance(told, dict):
         raise Unusable(f"configuration {path}: no object")
--- a/ramppulley/fleet/platform/listing.py
+++ b/ramppulley/fleet/platform/listing.py
@@ -22,6 +22,10 @@
                     raw, self.profile.kinds, self.profile.zones)
             except BadMessage as fault:
                 self.log.warning("entry of the list passed over", fault=str(fault))
+                name = raw.get("host")
+                box = self.workers.boxes.get(name) if isinstance(name, str) else None
+                if change.whole and box is not None:    # named all the same: it does not end with the list
+                    entries.append((name, box.state, box.cell, box.zone, 0, box.weight, box.born))
                 continue
             box = self.workers.boxes.get(name)
             if where is None and box is None:
--- a/ramppulley/wire/platform.py
+++ b/ramppulley/wire/platform.py
@@ -19,7 +19,7 @@
 NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 DIGITS = re.compile(r"[0-9]{1,9}")         # more is no figure of this platform
 LENGTHS = {"prompt_len": "prompt", "prefix_len": "prefix_tokens", "max_out": "most_out"}
-TEXT_MOST = 256
+TEXT_MOST, INFINITE = 256, float("inf")
 
 
 @dataclass
@@ -105,7 +105,7 @@
     """One line of the watch or the whole list; raises BadMessage."""
     try:
         told = msgspec.json.decode(text)
-    except (msgspec.DecodeError, UnicodeError) as fault:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as fault:
         raise BadMessage(f"the list cannot be read: {fault}") from fault
     return change_of(told)
 
@@ -124,7 +124,7 @@
     ('10.1.0.18', 8081)
     """
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not DIGITS.fullmatch(port) or not 0 < int(port) < 65536:
         raise BadMessage(f"no address: {text!r}")
     return host.strip("[]"), int(port)
 
@@ -140,7 +140,9 @@
         if told.get("class") not in kinds and state != "gone":     # to end one, its name is enough
             raise BadMessage(f"{name}: a class that the settings do not name: {told.get('class')!r}")
         where = address(told["dial"]) if told.get("dial") or state != "gone" else None
-        return (name, state, int(told.get("block") or 0), zone, kind, float(told.get("share") or 1.0),
-                int(told.get("born_ms") or 0), where)
-    except (KeyError, TypeError, ValueError) as fault:
+        share = float(told.get("share") or 1.0)
+        if not 0 < share < INFINITE:        # nor NaN: it is divided by
+            raise BadMessage(f"{name}: no share: {share}")
+        return (name, state, int(told.get("block") or 0), zone, kind, share, int(told.get("born_ms") or 0), where)
+    except (KeyError, TypeError, ValueError, OverflowError) as fault:
         raise BadMessage(f"an entry that cannot be read: {fault!r}") from fault
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -155,6 +155,7 @@
     "500": says(http.answer(500, {}, EMPTY)), "redirect": says(http.answer(302, {"location": "/elsewhere"})),
     "noise": says(b"\0noise\r\n"), "head without end": says(b"HTTP/1.1 200 OK\r\nx: " + b"a" * 99_999),
     "no JSON": says(HEAD + http.chunk(b"oops\n")), "no list": says(HEAD + http.chunk(b'{"seq":"x"}\n')),
+    "too deep": says(HEAD + http.chunk(b"[" * 99_999 + b"]" * 99_999 + b"\n")),
     "left off": says(HEAD + http.chunk(b"{\n\n\n")),
     "too long": says(HEAD + http.chunk(b" " * (watch.TEXT_MOST + 99)))}
 
@@ -272,6 +273,21 @@
                 assert not list(heard.feed(nonsense))
 
 
+def test_an_entry_of_a_whole_list_that_cannot_be_read_ends_no_worker():
+    async def told():
+        async with Scene() as scene:
+            good = dict(scene.list.hosts)
+            for worse in ({"dial": "10.0.0.1:\u00b2"}, {"class": "x"}, {"share": "nan"}, {"share": -1},
+                          {"block": "x"}):
+                scene.list.hosts = good | {"s-r0": good["s-r0"] | worse, "x": {"host": [], "health": "Ready"}}
+                scene.cut()
+                await scene.asked()
+                await asyncio.sleep(0.1)
+                boxes = scene.node.listing.workers.boxes
+                assert [(box.state, box.weight) for box in boxes.values()] == [("ready", 1.0)] * 2
+    played(told())
+
+
 # Calls are priced
 
 async def quiet(wire):
@@ -396,6 +412,23 @@
     played(told())
 
 
+def test_a_configuration_of_the_same_place_or_of_none_leaves_the_watch_as_it_is(tmp_path):
+    async def told():
+        async with Scene() as scene:
+            count, port = len(scene.list.asked), scene.list.listener.port
+            scene.node.reload(scene.configured(tmp_path, port))
+            for text in (b"", b"{", b"[]", b"\xff", b"[" * 99_999, b"{}", b'{"discovery":7}',
+                         b'{"discovery":"a:\xc2\xb2"}', b'{"discovery":"a:' + b"9" * 5000 + b'"}',
+                         b'{"discovery":":80"}', b'{"discovery":"a:0"}'):
+                (tmp_path / "config.json").write_bytes(text)
+                scene.node.reload(tmp_path / "config.json")
+            scene.node.reload(tmp_path / "none")
+            await asyncio.sleep(3)
+            assert len(scene.list.asked) == count and await scene.changed() < 0.1
+            assert scene.lines.text.count("old one stays") == 12
+    played(told())
+
+
 # In real time
 
 @pytest.mark.parametrize("name", ["silent", "half a line", "line drips", "500"])
