An idle client makes room in a flood, the oldest that never spoke first, and the bound on clients holds

`_make_room` asked only silent ones over 0.1 s old and those at rest over 2 s: no half request, nobody whose refusal was only read on (0.4 s). Clients went 4 over their bound, as one that makes room leaves some turns later; running out on accept made no room at all. Ruled out: many accepts in one turn (uvloop accepts one a turn); descriptors that outlive their task by more than a turn. Change: the order in `PlatformFront._idle`; who sent what is not read yet (MSG_PEEK) stays; the listener gives the place away once it is free; EMFILE on accept asks one to make room.

--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -15,7 +15,8 @@
 BODY_MOST = 256 << 10
 SILENT, FIRST_SLOW = 1.2, 1.2   # seconds: a new connection's first byte, and its first request's last one
 AT_REST, SLOW = 6.0, 5.0        # seconds: between requests; for a later request, and for a client that does not read
-REST_LEAST, NEW_LEAST = 2.0, 0.1        # a connection at rest, or one never heard, may be closed for another after
+REST_LEAST, NEW_LEAST = 2.0, 0.1        # at rest, or quiet before or in a first request, it may be closed for another
+JUST_CAME = 8                   # as many of those that came last and never spoke are no flood yet
 LINGER, LINGER_MOST = 0.4, 1 << 20      # seconds and bytes that a refused client's sending is still read
 USED = 1024                     # names of ended requests that a new one may not bear
 EVENTS = {"content-type": "text/event-stream", "cache-control": "no-cache"}
@@ -42,6 +43,7 @@
         self.cases = {name: i for i, name in enumerate(profile.case_names)}
         self.used = {}                  # names of those that ended last, the oldest first
         self.open, self.at_rest, self.closing, self.stopping, self.refused = {}, {}, False, False, 0
+        self.new, self.lingering = {}, {}       # those without a whole request yet; those refused; the oldest first
         self.listener = Listener(self._serve, host, port, connections, make_room=self._make_room)
 
     @property
@@ -56,7 +58,7 @@
         """For `still` seconds new requests are taken, each on a connection that ends with its answer; then none, and what
         was taken gets `within` seconds."""
         self.closing = True
-        for wire, (_, conn) in list(self.at_rest.items()):
+        for wire, conn in list(self.at_rest.items()):
             if conn.served:
                 wire.end_reading()
         await asyncio.sleep(still)
@@ -66,24 +68,39 @@
         await self.listener.stop(within)
 
     def _make_room(self):
-        """One connection more than there may be: the one silent longest makes room. Whether one did."""
-        now = asyncio.get_running_loop().time()
-        for spoken, least in ((False, NEW_LEAST), (True, REST_LEAST)):
-            for wire, (since, conn) in self.at_rest.items():
-                if now - since >= least and bool(conn.served) == spoken:
-                    del self.at_rest[wire]
-                    wire.end_reading()
-                    return True
+        """One connection more than there may be: the first of the idle ones makes room. Whether one did."""
+        for wire in self._idle():
+            if wire in self.lingering or not wire.unread():     # what it sent may wait behind a burst of new ones
+                for kept in (self.lingering, self.new, self.at_rest):
+                    kept.pop(wire, None)
+                wire.end_reading()
+                return True
         return False
 
+    def _idle(self):
+        """Who may make room, in this order: who has had an answer that ends its connection; who never spoke; who stopped
+        within a first request; who rests since long; who just came. A usual client speaks at once: of many that are new
+        and silent the oldest is least likely one, but the only one may be."""
+        now = asyncio.get_running_loop().time()
+        silent = [wire for wire, conn in self.new.items() if not conn.parser.begun]
+        yield from self.lingering
+        yield from (wire for place, wire in enumerate(silent, JUST_CAME)
+                    if place < len(silent) or now - self.new[wire].quiet >= NEW_LEAST)
+        yield from (wire for wire, conn in self.new.items() if conn.parser.begun and now - conn.quiet >= NEW_LEAST)
+        yield from (wire for wire, conn in self.at_rest.items() if conn.served and now - conn.quiet >= REST_LEAST)
+        yield from silent
+
     async def _serve(self, wire):
-        conn = Connection(wire, http.RequestParser(BODY_MOST))
+        conn = self.new[wire] = Connection(wire, http.RequestParser(BODY_MOST))
         try:
             while True:
                 rest = AT_REST if 2 * len(self.listener.tasks) < self.listener.most else REST_LEAST
                 idle, slow = (rest, SLOW) if conn.served else (SILENT, FIRST_SLOW)
                 try:
-                    request = await conn.next(idle, slow, self.at_rest, lambda: self.stopping)
+                    try:
+                        request = await conn.next(idle, slow, self.at_rest, lambda: self.stopping)
+                    finally:
+                        self.new.pop(wire, None)
                 except BadMessage as fault:
                     await self._refuse(conn, fault.status, str(fault))
                     return
@@ -100,6 +117,7 @@
     async def _refuse(self, conn, status, text):
         """The error, and then a close that does not eat it: what the client still sends is read for a while."""
         self.refused += 1
+        self.lingering[conn.wire] = None
         try:
             async with asyncio.timeout(LINGER):
                 await conn.wire.send(http.answer(status, answers.TEXT, text.encode() + b"\n", keep_alive=False))
@@ -113,6 +131,8 @@
                     read += len(data)
         except (OSError, TimeoutError):
             pass
+        finally:
+            self.lingering.pop(conn.wire, None)
 
     async def _handle(self, conn, request):
         """Answers one request; whether the connection stays open."""
--- a/ramppulley/fronts/reading.py
+++ b/ramppulley/fronts/reading.py
@@ -9,6 +9,7 @@
 
     def __init__(self, wire, parser):
         self.wire, self.parser, self.watch, self.served = wire, parser, None, 0
+        self.quiet = 0.0                # since when its next bytes are waited for
 
     def close(self):
         if self.watch is not None:
@@ -26,7 +27,7 @@
 
     async def next(self, idle, slow, at_rest, stopping):
         """The next whole request; None at the end of the connection, TimeoutError after `idle` seconds without a byte or
-        `slow` for one that has begun. `at_rest`: here it waits with nothing begun, since when."""
+        `slow` for one that has begun. `at_rest`: here it waits with nothing begun."""
         loop, parser, began = asyncio.get_running_loop(), self.parser, None
         while not parser.ready:
             limit = idle
@@ -37,8 +38,9 @@
                     raise TimeoutError
             elif stopping():
                 return None
+            self.quiet = loop.time()
             if not parser.begun:
-                at_rest[self.wire] = loop.time(), self
+                at_rest[self.wire] = self
             try:
                 watch = self.watched()
                 await asyncio.wait({watch}, timeout=limit)
--- a/ramppulley/standin/platform.py
+++ b/ramppulley/standin/platform.py
@@ -99,8 +99,8 @@
     def __init__(self):
         self.seq, self.hosts, self.changes, self.watches, self.asked = 1, {}, [], set(), []
 
-    def start(self):
-        self.listener = Listener(self._serve).start()
+    def start(self, port=0):
+        self.listener = Listener(self._serve, port=port).start()
         return self
 
     async def stop(self):
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -3,6 +3,7 @@
 Slow peers make the sender slow: `send` returns when the kernel took all bytes, and nothing is read ahead.
 """
 import asyncio
+import errno
 import socket
 
 LEAST, BUFFER = 4 * 1024, 64 * 1024     # bytes read at once: a connection that fills its buffer gets a larger one
@@ -67,6 +68,13 @@
             return False
         return False
 
+    def unread(self):
+        """Whether bytes came that nobody has read."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False        # nothing, or reset
+
     def end_writing(self):
         """The peer sees the end; what it still sends can be read."""
         try:
@@ -118,10 +126,13 @@
     return Wire(sock)
 
 
+LEAVES_WITHIN = 0.1             # seconds that one that was asked to make room gets before another is asked
+
+
 class Listener:
     """Accepts connections and runs `serve(wire)` in a task for each, at most `most` at once.
 
-    One more is closed, unless `make_room()` ends another's wait for it.
+    One more is closed, unless `make_room()` ends another's wait for it; it is served once that other has gone.
     """
 
     def __init__(self, serve, host="127.0.0.1", port=0, most=10_000, backlog=1024, make_room=lambda: False):
@@ -137,7 +148,7 @@
         self.sock.listen(backlog)
         self.sock.setblocking(False)
         self.host, self.port = self.sock.getsockname()[:2]
-        self._accepting = None
+        self._accepting = self._left = None
 
     def start(self):
         self._accepting = asyncio.get_running_loop().create_task(self._accept())
@@ -148,16 +159,33 @@
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
-            except OSError:             # out of file handles, or the peer left in between
+            except OSError as fault:    # out of file handles, or the peer left in between
+                if fault.errno in (errno.EMFILE, errno.ENFILE):
+                    self.make_room()    # or nobody comes in until one leaves by itself
                 await asyncio.sleep(0.02)
                 continue
-            if len(self.tasks) >= self.most and not self.make_room():
+            if not await self._room():
                 self.turned_away += 1
                 sock.close()
                 continue
             task = loop.create_task(self._run(Wire(sock)))
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            task.add_done_callback(self._ended)
+
+    async def _room(self):
+        """Whether there is room, made where needed. A turn passes before the descriptor of one that leaves is free: until
+        then the new one has no place, or a flood would hold more than `most`."""
+        while len(self.tasks) >= self.most:
+            if not self.make_room():
+                return False
+            self._left = asyncio.get_running_loop().create_future()
+            await asyncio.wait({self._left}, timeout=LEAVES_WITHIN)
+        return True
+
+    def _ended(self, task):
+        self.tasks.discard(task)
+        if self._left is not None and not self._left.done():
+            self._left.set_result(None)
 
     async def _run(self, wire):
         try:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -45,12 +45,18 @@
         for worker in self.workers:
             worker.start()
             self.list.hosts[worker.name] = self.entry(worker)
+        await self.start_router()
+        return self
+
+    async def start_router(self):
         self.node = await Node(self.config(), Log("n0", self.lines), self.make).start()
         self.port = self.node.front.port
-        return self
 
-    async def __aexit__(self, *_):
+    async def stop_router(self):
         await self.node.stop(still=0.0, within=0.5)
+
+    async def __aexit__(self, *_):
+        await self.stop_router()
         for worker in self.workers:
             await worker.stop()
         await self.list.stop()
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,298 @@
+"""Stories of descriptors: idle and bad clients may fill what is theirs; the watch, workers, releases and SIGHUP go on."""
+import asyncio
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import pytest
+from platform_rig import World, answer, question
+from rig import story
+
+from ramppulley.standin.platform import PlatformList
+from ramppulley.wire import http
+from ramppulley.wire.sockets import Listener, connect
+
+ROOT = Path(__file__).parents[1]
+HALF = question("q-half")[:80]
+
+
+class Apart(World):
+    """The router is a process of its own with so many descriptors."""
+
+    async def start_router(self):
+        self.folder, self.peak = tempfile.TemporaryDirectory(prefix="rp-test-"), 0
+        config, folder = self.config(), Path(self.folder.name)
+        self.path, self.err, self.port = folder / "config.json", folder / "err", int(config["listen"].split(":")[1])
+        self.path.write_text(json.dumps(config))
+        with self.err.open("w") as err:
+            self.process = subprocess.Popen(        # noqa: ASYNC220
+                [sys.executable, "-m", "ramppulley", "platform"], cwd=ROOT, stderr=err,
+                env={**os.environ, "PROXY_CONFIG": str(self.path)},
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets)))
+        await self.until(lambda: "listening" in self.log(), 10.0)
+        self.watching = asyncio.create_task(self.watch_peak())
+
+    async def watch_peak(self):
+        while True:
+            self.peak = max(self.peak, len(os.listdir(f"/proc/{self.process.pid}/fd")))
+            await asyncio.sleep(0.005)
+
+    async def stop_router(self):
+        self.watching.cancel()
+        self.process.kill()
+        self.process.wait()
+        self.folder.cleanup()
+
+    async def fill(self):
+        """Opens all connections to workers that there may be: more requests at once than are taken."""
+        await asyncio.gather(*(self.ask(f"f-{i}", req_key=f"k{i}") for i in range(40)), return_exceptions=True)
+
+    def log(self):
+        return self.err.read_text()
+
+
+class Flood:
+    """Many clients that connect at once, say `data` and stay; others like them until the end."""
+
+    def __init__(self, port, data=b"", at_once=100, each=20):
+        self.port, self.data, self.at_once, self.each, self.socks = port, data, at_once, each, []
+
+    async def __aenter__(self):
+        self.more(self.at_once)
+        self.task = asyncio.create_task(self.go_on())
+        return self
+
+    async def __aexit__(self, *_):
+        self.task.cancel()
+        for sock in self.socks:
+            sock.close()
+
+    def more(self, count):
+        for _ in range(count):
+            sock = socket.socket()
+            sock.setblocking(False)
+            self.socks.append(sock)
+            try:
+                sock.connect(("127.0.0.1", self.port))
+            except BlockingIOError:
+                pass
+            try:
+                sock.send(self.data)
+            except OSError:
+                pass                    # turned away already
+        for sock in self.socks[:-1000]:
+            sock.close()
+        del self.socks[:-1000]
+
+    async def go_on(self):
+        while True:
+            await asyncio.sleep(0.02)
+            self.more(self.each)
+
+
+@story
+async def test_while_idle_clients_fill_all_and_discovery_is_down_what_was_taken_is_served_and_a_change_is_told():
+    async with Apart(readers=2, writers=2, sockets=64, token_s=0.1) as world:
+        await world.fill()
+        taken = asyncio.create_task(world.ask("taken"))
+        await world.until(lambda: any("taken" in entry for worker in world.writers for entry in worker.of("POST")))
+        port = world.list.listener.port
+        async with Flood(world.port):
+            await world.list.stop()
+            world.list.tell(world.entry(world.readers[0], "Terminating"))
+            await asyncio.sleep(0.5)
+            world.list.start(port)
+            await world.until(lambda: "ready -> draining" in world.log(), 4.0)
+            assert (await taken)[0::3] == (200, True)
+            assert (await world.ask("new"))[0] == 200
+        assert world.peak < 64                  # at the limit, something else went without
+
+
+@story
+async def test_while_idle_clients_fill_all_a_release_goes_out_and_sighup_moves_discovery():
+    async with Apart(sockets=64) as world:
+        other = PlatformList()
+        other.hosts, other.seq = dict(world.list.hosts), 5
+        other.start()
+        await world.fill()
+        async with Flood(world.port):
+            await asyncio.sleep(0.2)
+            world.writers[0].scripts.extend([http.answer(503, {"Srv-Declined": "1"})] * 8)
+            assert (await world.ask("held", req_deadline_ms="400"))[0] == 503
+            await world.until(lambda: not world.yard, 1.0)
+            world.path.write_text(json.dumps({"discovery": f"127.0.0.1:{other.listener.port}"}))
+            world.process.send_signal(signal.SIGHUP)
+            await world.until(lambda: other.watches, 2.0)
+        assert world.peak < 64
+        assert any(worker.of("DELETE") for worker in world.workers) and "Traceback" not in world.log()
+        await other.stop()
+
+
+@pytest.mark.parametrize("data", [b"", HALF, b"\x00 noise\r\n\r\n"], ids=["silent", "half", "refused"])
+def test_a_usual_client_that_comes_into_a_flood_is_served(data):
+    @story
+    async def told():
+        async with World(sockets=64) as world:
+            rests = await world.connect()
+            assert (await world.ask("q-0", rests))[0] == 200
+            async with Flood(world.port, data, at_once=60, each=1):
+                if data == HALF:
+                    await asyncio.sleep(0.15)
+                for number in range(12):
+                    assert (await world.ask(f"q-{number + 1}"))[0] == 200
+                    await asyncio.sleep(0.02)
+                assert (await world.ask("q-99", rests))[0] == 200       # others made room before one that asked
+            rests.close()
+    told()
+
+
+@story
+async def test_who_sent_a_request_that_was_not_read_yet_does_not_make_room():
+    async with World(sockets=64) as world:
+        asks = [await world.connect() for _ in range(world.node.front.listener.most)]
+        await world.until(lambda: len(world.node.front.at_rest) == len(asks))
+        await asks[0].send(question("q-1"))
+        front = world.node.front
+        assert all(front._make_room() for _ in asks[1:]) and not front._make_room()
+        assert (await answer(asks[0]))[0] == 200
+        assert await asks[1].receive() == await asks[-1].receive() == b""
+        for wire in asks:
+            wire.close()
+
+
+async def rest_all(world, count):
+    """So many clients that asked once and rest for longer than they must be let."""
+    wires = [await world.connect() for _ in range(count)]
+    await asyncio.gather(*(world.ask(f"q-{i}", wire) for i, wire in enumerate(wires)))
+    for conn in world.node.front.at_rest.values():
+        conn.quiet -= 2.0
+    return wires
+
+
+@story
+async def test_clients_at_rest_make_room_before_one_that_just_came():
+    async with World(sockets=64) as world:
+        front = world.node.front
+        wires = await rest_all(world, 15)
+        oldest = list(front.at_rest)[:2]
+        wires += [await world.connect() for _ in range(front.listener.most - 15 + 2)]
+        await world.until(lambda: len(front.new) == len(wires) - 15)
+        await world.until(lambda: all(wire.closed for wire in oldest))
+        assert sum(conn.served for conn in front.at_rest.values()) == 13
+        assert (await world.ask("q-new", wires[15]))[0] == 200
+        for wire in wires:
+            wire.close()
+
+
+@story
+async def test_a_flood_of_silent_clients_does_not_end_those_at_rest():
+    async with World(sockets=64) as world:
+        wires = await rest_all(world, 12)
+        async with Flood(world.port, each=5):
+            await asyncio.sleep(0.1)
+            assert sum(conn.served for conn in world.node.front.at_rest.values()) == 12
+        for wire in wires:
+            wire.close()
+
+
+@story
+async def test_a_flood_never_holds_more_clients_than_there_may_be():
+    most = []
+
+    async def serve(wire):
+        most.append(len(listener.tasks))
+        held[wire] = None
+        await wire.receive()
+        await asyncio.sleep(0.01)               # its descriptor is free some turns after it was asked to leave
+
+    def make_room():
+        if held:
+            wire = next(iter(held))
+            del held[wire]
+            wire.end_reading()
+            return True
+        return False
+    held, listener = {}, Listener(serve, most=4, make_room=make_room).start()
+    wires = [await connect("127.0.0.1", listener.port, 1.0) for _ in range(20)]
+    while len(most) < len(wires):
+        await asyncio.sleep(0.01)
+    assert max(most) == 4 and not listener.turned_away
+    for wire in wires:
+        wire.close()
+    await listener.stop()
+
+
+@story
+async def test_where_descriptors_run_out_all_the_same_the_next_client_gets_one():
+    served, limits = [], resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    async def serve(wire):
+        served.append(wire)
+        await wire.receive()
+
+    def make_room():
+        served[0].end_reading()
+        return True
+    listener = Listener(serve, make_room=make_room).start()
+    first, late = await connect("127.0.0.1", listener.port, 1.0), socket.socket()
+    while not served:
+        await asyncio.sleep(0.01)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (served[0].sock.fileno() + 1, limits[1]))
+    gaps = []
+    try:
+        while True:                             # all numbers below are taken
+            gaps.append(os.dup(0))
+    except OSError:
+        pass
+    try:
+        late.connect(("127.0.0.1", listener.port))
+        async with asyncio.timeout(1):
+            while len(served) < 2:
+                await asyncio.sleep(0.01)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        for number in gaps:
+            os.close(number)
+        late.close()
+        first.close()
+        await listener.stop()
+
+
+# Bad clients
+
+GONE = {
+    "within a head": question("q-1")[:100],
+    "within a long body": question("q-1", b"x" * 250_000)[:-1],
+    "after more than a body may be":
+        b"POST /v1 HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 900_000,
+    "after a request": question("q-1"),
+    "after many requests": b"".join(question(f"q-{i}") for i in range(300)),
+    "after a request and noise": question("q-1") + b"\x00\xff noise",
+    "after one that is refused": question("q-1", req_kind="none") + b"x" * 200_000,
+}
+
+
+@pytest.mark.parametrize("leave", ["close", "reset"])
+@pytest.mark.parametrize("name", GONE)
+def test_who_sends_much_and_goes_leaves_nothing_behind(name, leave):
+    @story
+    async def told():
+        async with World() as world:
+            wires = [await world.connect() for _ in range(5)]
+            sending = [asyncio.create_task(wire.send(GONE[name])) for wire in wires]
+            await asyncio.wait(sending, timeout=0.05)
+            for wire in wires:
+                getattr(wire, leave)()
+            await asyncio.gather(*sending, return_exceptions=True)
+            front = world.node.front
+            await world.until(lambda: not front.listener.tasks, 2.0)
+            assert not (front.new or front.lingering or front.at_rest or front.open)
+            await world.settled()
+            assert (await world.ask("q-new"))[0] == 200 and "fault" not in world.lines.text
+    told()
