Descriptors set aside for releases, requests taken only where a connection is left, limits that add up

Measured: with 20 requests at once under RLIMIT_NOFILE 64, four were turned back within 21 to 34 ms after their read, all four attempts spent on "all connections to workers are in use". Under 40 descriptors the parts added up to more than the limit; a process bound lower than `limits.sockets` was not looked at. Open from the start: 13 (counted in /proc/self/fd), so 24 stay set aside. Ruled out: letting a request wait for a connection. The wait counted as the worker's slowness; after it the module held a request with 4 s left and no other load for 3.97 s and turned it back. Change: a sixteenth of the workers' part (two at least) is for releases alone, also against idle connections used again; no room is no try of a release, for 5 s; no more requests are taken than have a connection (99 of 256 descriptors, where clients may hold 85 for requests); the lower of limit and process bound counts, under 40 is one line and status 2. The bound per worker lies one over that of all, or a release would wait for one worker's instead of hearing NoRoom. Stories seen to fail: none set aside; the bound by open instead of used connections; NoRoom counted as a try; the old bound per worker (a hang); questions not bounded; no least; no look at the process bound; a least room that exceeds the limit.

--- a/ramppulley/daemon/platform.py
+++ b/ramppulley/daemon/platform.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import random
+import resource
 import signal
 import sys
 import time
@@ -27,8 +28,13 @@
 from ramppulley.wire import platform
 from ramppulley.wire.faults import BadMessage
 
-RESERVE = 24                    # descriptors beside clients' and workers': loop, listener, watch, log, signals
-CLIENTS = 0.55                  # of the rest; a third of all is the most that clients hold for requests
+# Descriptors beside clients' and workers'. Open from the start are 13: standard ones, loop, signals, listener. Then two
+# watches (the old one ends while the new one connects), the connection to be turned away, the configuration at SIGHUP,
+# a trace's source; the other 6 for what is closed a turn late.
+RESERVE = 24
+ROOM_LEAST = 16                 # for clients and workers together: with less nobody could be served
+CLIENTS = 0.55                  # of that room; a third of all is the most that clients hold for requests
+SMALL = 16                      # one of so many connections to workers is for small calls alone, and two at least
 STILL = 0.6                     # seconds after SIGTERM that new connections still come
 WITHIN = 600.0                  # seconds for what was taken; the platform ends the process before that
 
@@ -95,6 +101,15 @@
                           patience=record.patience // 10, ended=(record.ended - record.taken) // 10, sends=f"[{sends}]")
 
 
+def sockets_of(limits):
+    """How many descriptors may be open: what the limits tell, or the system's bound where that is lower."""
+    told, bound = int(limits.get("sockets") or 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    sockets = told if bound == resource.RLIM_INFINITY else min(told, bound)
+    if sockets < RESERVE + ROOM_LEAST:
+        raise Unfit(f"limits.sockets: {sockets} descriptors may be open, {RESERVE + ROOM_LEAST} are needed")
+    return sockets
+
+
 class Node:
     """What one configuration asks for, made; `start`, `reload` and `stop` are its life."""
 
@@ -107,7 +122,7 @@
             if not self.profile.connect_within:
                 raise Unfit("settings.Bounds.ConnectTimeoutS: a number over 0 is needed")
             self.seed = int(str(told.get("seed") or 0), 16)
-            self.sockets = int((told.get("limits") or {}).get("sockets") or 1024)
+            self.sockets = sockets_of(told.get("limits") or {})
             self.known = platform.change_of(told["known"]) if told.get("known") else None
         except (Unfit, BadMessage) as fault:
             raise Unusable(f"configuration: {fault}") from fault
@@ -118,10 +133,12 @@
     async def start(self):
         """Raises OSError where its address cannot be listened on."""
         profile, loop = self.profile, asyncio.get_running_loop()
-        room = max(16, self.sockets - RESERVE)
+        room = self.sockets - RESERVE
         clients = int(room * CLIENTS)
+        workers = room - clients
+        small = max(2, workers // SMALL)
         self.clock = LoopClock(loop)
-        self.engines = PlatformEngines(self.log, profile, Budget(room - clients))
+        self.engines = PlatformEngines(self.log, profile, Budget(workers, small))
         self.listing = Listing(profile, self.log)
         accounts = {"": 0} | {name: i for i, name in enumerate(profile.account_names)}
         self.core = Core("", lambda host, now: profile.router(self.make, host, self.seed, now), self.engines, self.clock,
@@ -133,7 +150,7 @@
                            random.Random(self.seed).random).start()
         self.front = PlatformFront(self.core, profile, self.log, lambda: self.listed, host=self.listen[0],
                                    port=self.listen[1], connections=clients,
-                                   questions=profile.questions_most or clients).start()
+                                   questions=min(profile.questions_most or clients, workers - small)).start()
         self._tidying = loop.create_task(self._tidy())
         self.log.info("listening", port=self.front.port, workers=len(self.listing.workers.boxes), clients=clients,
                       to_workers=self.engines.budget.most)
--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -15,10 +15,18 @@
 
 
 class Budget:
-    """How many connections to all workers may be open at once; at the bound, the one idle longest makes room."""
+    """How many connections to all workers may be open at once; at the bound, the one idle longest makes room.
 
-    def __init__(self, most):
-        self.most, self.open, self.kept = most, 0, {}       # kept: idle wires, longest first, with their Connections
+    `small` of them are for small calls alone: what is held has to go also while requests use all others."""
+
+    def __init__(self, most, small=0):
+        self.most, self.small = most, small
+        self.open, self.kept = 0, {}        # kept: idle wires, longest first, with their Connections
+
+    def ask(self):
+        """Whether a request may use one more, new or idle; raises NoRoom."""
+        if self.open - len(self.kept) >= self.most - self.small:
+            raise NoRoom(errno.EMFILE, "all connections to workers are in use")
 
     def take(self):
         """Room for one more; raises NoRoom."""
@@ -38,13 +46,15 @@
         self.idle, self.made, self._room = deque(), 0, asyncio.Semaphore(most)
         self.spare = None               # kept open for small calls, so that no handshake stands before them
 
-    async def get(self, within, when_room=None):
+    async def get(self, within, when_room=None, small=False):
         """Raises OSError, or TimeoutError after `within` seconds of connecting. Give it back by `put` or `drop`.
 
         `when_room` is called when the wait for one of the capped number is over."""
         loop = asyncio.get_running_loop()
         await self._room.acquire()
         try:
+            if not small:
+                self.budget.ask()
             while self.idle:
                 # the last used first: the others may idle out. But one that a peer closes right after its answer looks
                 # good for a moment
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -17,6 +17,7 @@
 from ramppulley.wire.faults import BadMessage
 
 RELEASE_TRIES = 8               # of letting go, each at another worker
+ROOM_WITHIN = 5.0               # seconds that a release waits for a connection; those for small calls are soon free
 STOPPED = 4.4                   # seconds without an event: a client may not be left waiting for 5 (PROTOCOL, Figures)
 CLOSED_FIRST = 0.02             # seconds from a read's closing to letting go of what it may have left
 
@@ -26,7 +27,8 @@
 
     def __init__(self, log, profile, budget):
         within = profile.connect_within / TENTHS
-        super().__init__(log, budget.most, max(1.0, 0.8 * profile.idle / TENTHS), within, budget)
+        # one more than there may be in all: a wait for one worker's would not end with NoRoom
+        super().__init__(log, budget.most + 1, max(1.0, 0.8 * profile.idle / TENTHS), within, budget)
         self.profile, self.heard = profile, {}      # heard: boxes, the one heard longest ago first
         self.owed, self.releasing = {}, {}          # lives whose state must go, after how long; those whose is going
         self.in_answers = profile.how == "answers"
@@ -94,8 +96,10 @@
 
     async def _release(self, name, after):
         await asyncio.sleep(after)
-        asked = set()
-        for _ in range(RELEASE_TRIES):
+        loop = asyncio.get_running_loop()
+        asked, tries, until = set(), 0, loop.time() + ROOM_WITHIN
+        while tries < RELEASE_TRIES:
+            tries += 1
             helpers = self._helpers()
             box = next((b for b in helpers if b not in asked), None)
             if box is None:
@@ -106,10 +110,13 @@
             asked.add(box)
             try:
                 async with asyncio.timeout(self.connect_within / 2):
-                    status, _ = await self._call(box, "DELETE", platform.lease(name))
+                    status, _ = await self._call(box, "DELETE", platform.lease(name), small=True)
                 if status < 300:
                     return
-            except NoRoom:
+            except NoRoom:              # nobody was asked
+                if loop.time() < until:
+                    asked.discard(box)
+                    tries -= 1
                 await asyncio.sleep(CLOSED_FIRST)
             except (OSError, TimeoutError, BadMessage):
                 pass
@@ -133,10 +140,10 @@
             outcome = door.NO_ROUTE
         core.probed(box, outcome, report)
 
-    async def _call(self, box, method, target):
+    async def _call(self, box, method, target, small=False):
         """One small exchange beside the questions: (status, load report's figures or None)."""
         connections = self.workers[box].connections
-        wire = await connections.get(self.connect_within)
+        wire = await connections.get(self.connect_within, small=small)
         whole = False
         try:
             parser = await self._exchange(wire, http.request(method, target, {
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -9,11 +9,15 @@
 import sys
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
-from platform_rig import World, answer, question
+from platform_rig import SETTINGS, Quiet, World, answer, question
 from rig import story
 
+from ramppulley.daemon.platform import RESERVE, ROOM_LEAST, Log, Node, Unusable
+from ramppulley.engines.connections import NoRoom
+from ramppulley.service.neutral import Life
 from ramppulley.standin.platform import PlatformList
 from ramppulley.wire import http
 from ramppulley.wire.sockets import Listener, connect
@@ -264,6 +268,99 @@
         await listener.stop()
 
 
+# Connections to workers
+
+async def use_all(world, small=False):
+    """Takes connections until there is no room for one more."""
+    connections, taken = world.node.engines.workers[world.node.listing.workers.boxes["s-w0"]].connections, []
+    try:
+        while True:
+            taken.append(await connections.get(1.0, small=small))
+    except NoRoom:
+        return connections, taken
+
+
+def owe(world, name):
+    world.yard.add(name)
+    world.node.engines.let_go(Life(SimpleNamespace(name=name), None, None, 0), None, name)
+
+
+@story
+async def test_a_release_goes_out_while_requests_use_all_connections():
+    async with World(sockets=64) as world:
+        connections, taken = await use_all(world)
+        owe(world, "q-1")
+        await world.until(lambda: not world.yard, 0.5)
+        for wire in taken:
+            connections.drop(wire)
+
+
+@story
+async def test_idle_connections_do_not_let_requests_use_those_of_releases():
+    async with World(sockets=64) as world:
+        connections, taken = await use_all(world, small=True)
+        for wire in taken:
+            connections.put(wire)
+        taken = (await use_all(world))[1]
+        owe(world, "q-1")
+        await world.until(lambda: not world.yard, 0.5)
+        for wire in taken:
+            connections.drop(wire)
+
+
+@story
+async def test_a_release_that_finds_no_connection_waits_for_one():
+    async with World(sockets=64) as world:
+        connections, taken = await use_all(world, small=True)
+        owe(world, "q-1")
+        await asyncio.sleep(0.4)                # eight tries would be over
+        connections.drop(taken.pop())
+        await world.until(lambda: not world.yard, 0.5)
+        for wire in taken:
+            connections.drop(wire)
+
+
+@story
+async def test_no_more_requests_are_taken_than_there_are_connections_for():
+    async with World(sockets=64, token_s=0.1) as world:
+        asked = await asyncio.gather(*(world.ask(f"q-{i}", req_key=f"k{i}") for i in range(20)))
+        assert sorted(status for status, *_ in asked) == [200] * 16 + [503] * 4
+        assert "all connections to workers are in use" not in world.lines.text
+
+
+# Limits
+
+def told_of(sockets):
+    return {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "limits": {"sockets": sockets}, "settings": SETTINGS}
+
+
+def test_a_limit_that_is_too_small_is_told_in_one_line():
+    for sockets in (1, RESERVE, RESERVE + ROOM_LEAST - 1, -5):
+        with pytest.raises(Unusable, match=rf"^configuration: limits.sockets: {sockets} .* 40 are needed$"):
+            Node(told_of(sockets), Log("n0", Quiet()))
+    assert Node(told_of(40), Log("n0", Quiet())).sockets == 40
+
+
+def test_the_systems_bound_counts_where_it_is_lower():
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (96, limits[1]))
+    try:
+        assert Node(told_of(1024), Log("n0", Quiet())).sockets == 96
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
+@pytest.mark.parametrize("sockets", [40, 64, 256, 1024])
+def test_the_parts_together_stay_within_the_limit(sockets):
+    @story
+    async def told():
+        async with World(sockets=sockets) as world:
+            node = world.node
+            assert node.front.listener.most + node.engines.budget.most + RESERVE <= sockets
+            assert node.front.questions <= node.engines.budget.most - node.engines.budget.small
+    told()
+
+
 # Bad clients
 
 GONE = {
