A connection is not used within 20 ms of its last answer: a second answer may come late

`Connections.get` took a connection that rested under 20 ms last, but took it where nothing else rested; the late answer was then read as the next request's. In the story a `lodge` request got 503 while its decode ran: the very complaint. Change: a connection is not taken within 20 ms of its answer; a new one is opened. Three stories that use a connection again wait those 20 ms now, and assert the same.

--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -6,7 +6,7 @@
 from ramppulley.wire.sockets import connect
 
 MOST, IDLE = 512, 10.0          # open to one worker; seconds that an idle one is kept
-FRESH = 0.02                    # seconds after an answer in which its connection is taken last
+FRESH = 0.02                    # seconds after an answer in which its connection is not taken
 OURS = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL    # say nothing of the worker
 
 
@@ -55,11 +55,12 @@
         try:
             if not small:
                 self.budget.ask()
-            while self.idle:
-                # the last used first: the others may idle out. But one that a peer closes right after its answer looks
-                # good for a moment
+            # the last used first: the others may idle out. But one that a peer closes right after its answer looks good
+            # for a moment, and a second answer that comes some milliseconds late would be taken for that of the next
+            # request: a new connection costs less
+            while rested := [kept for kept in self.idle if loop.time() - kept[1] >= FRESH]:
+                wire, since = rested[-1]
                 now = loop.time()
-                wire, since = next((kept for kept in reversed(self.idle) if now - kept[1] >= FRESH), self.idle[-1])
                 if now - since < self.idle_for and wire.idle():
                     self.idle.remove((wire, since))
                     self.budget.kept.pop(wire, None)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -10,6 +10,7 @@
 
 from ramppulley import door
 from ramppulley.engines import proof
+from ramppulley.engines.connections import FRESH
 from ramppulley.engines.openai import OpenAIEngines
 from ramppulley.service.neutral import CHAT, EMBEDDINGS, Ask, Life, Out
 from ramppulley.wire import http, sse
@@ -77,6 +78,7 @@
     ask = Ask("q.r0-1", EMBEDDINGS if what == "pool" else CHAT, "m", "c", body, 60_000, 1, stream=True)
     try:
         for number in range(times):
+            await asyncio.sleep(1.5 * FRESH * bool(number))     # a connection is not used again before
             core.over.clear()
             life = Life(ask, door.Slip(CASE, 1, 1, 60_000), core, 0)
             out = Out(life, box, None, number, what == "read", time_out, 0, None if what == "pool" else STATE)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -11,6 +11,7 @@
 from platform_rig import SETTINGS, World, question
 from rig import CHAT, Rig, story
 
+from ramppulley.engines.connections import FRESH
 from ramppulley.wire import http
 
 BODY = b'{"model":"%s","messages":[{"role":"user","content":"hi"}],"max_tokens":4}' % CHAT.encode()
@@ -184,6 +185,7 @@
         after(connections, "_open", client)
         await none_begins(world, client, reads=0)
         assert len(connections.idle) == connections.made == world.node.engines.budget.open == 1
+        await asyncio.sleep(1.5 * FRESH)
         assert (await world.ask("q-2"))[0] == 200 and reader.connections == 1
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,7 +21,7 @@
 from ramppulley import door
 from ramppulley.daemon.platform import Log, Node
 from ramppulley.drill import wire as drill
-from ramppulley.engines.connections import Budget, Connections, NoRoom
+from ramppulley.engines.connections import FRESH, Budget, Connections, NoRoom
 from ramppulley.fleet.platform.listing import Listing
 from ramppulley.profile import Profile, Workers
 from ramppulley.rules import Router
@@ -85,6 +85,7 @@
         wire = await world.connect()
         for number in range(5):
             assert (await world.ask(f"q-{number}", wire))[0] == 200
+            await asyncio.sleep(1.5 * FRESH)
         assert world.writers[0].connections <= 2 and world.readers[0].connections <= 2    # a probe may take another
         wire.close()
 
@@ -767,3 +768,20 @@
         began = time.monotonic()
         assert (await world.ask("q-1"))[2:] == (EVENTS[0], False)
         assert 4 < time.monotonic() - began < 4.9
+
+
+@story
+async def test_a_second_answer_some_milliseconds_late_is_not_taken_for_that_of_the_next_request():
+    async def twice(wire):
+        world.yard.discard("first")
+        await wire.send(GOOD)
+        await asyncio.sleep(0.005)
+        await wire.send(http.answer(503, {"srv-declined": "1"}))
+
+    async with World() as world:
+        writer = world.writers[0]
+        writer.scripts.append(twice)
+        assert (await world.ask("first"))[0] == 200
+        status, *_ = await world.ask("second", req_kind="lodge")
+        await world.settled()
+        assert status == 200 and [entry[2] for entry in writer.of("POST")] == ["first", "second"]
