--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -16,7 +16,7 @@
 from ramppulley.wire import http, platform, sse
 from ramppulley.wire.faults import BadMessage
 
-RELEASE_TRIES = 8               # of letting go, each at another worker
+RELEASE_TRIES, RELEASES_MOST = 8, 4     # of letting go, each at another worker; at once at the most
 ROOM_WITHIN = 5.0               # seconds that a release waits for a connection; those for small calls are soon free
 STOPPED = 4.4                   # seconds without an event: a client may not be left waiting for 5 (PROTOCOL, Figures)
 CLOSED_FIRST = 0.02             # seconds from a read's closing to letting go of what it may have left
@@ -95,33 +95,41 @@
                                               not self.workers[box].connections.idle))
 
     async def _release(self, name, after):
+        """Asks one worker, then two at once, then four: those heard last may all have fallen silent in one cut."""
         await asyncio.sleep(after)
         loop = asyncio.get_running_loop()
-        asked, tries, until = set(), 0, loop.time() + ROOM_WITHIN
+        asked, tries, at_once, until = set(), 0, 1, loop.time() + ROOM_WITHIN
         while tries < RELEASE_TRIES:
-            tries += 1
-            helpers = self._helpers()
-            box = next((b for b in helpers if b not in asked), None)
-            if box is None:
+            boxes = [box for box in self._helpers() if box not in asked][:at_once]
+            tries += max(1, len(boxes))
+            if not boxes:
                 if not asked:
                     return              # no worker was ever listed
                 asked.clear()
                 continue
-            asked.add(box)
-            try:
-                async with asyncio.timeout(self.connect_within / 2):
-                    status, _ = await self._call(box, "DELETE", platform.lease(name), small=True)
-                if status < 300:
-                    return
-            except NoRoom:              # nobody was asked
+            asked.update(boxes)
+            heard = await asyncio.gather(*[self._releases(box, name) for box in boxes])
+            if True in heard:
+                return
+            if None in heard:           # no connection for it: that one was not asked
                 if loop.time() < until:
-                    asked.discard(box)
-                    tries -= 1
+                    asked -= {box for box, answer in zip(boxes, heard) if answer is None}
+                    tries -= heard.count(None)
                 await asyncio.sleep(CLOSED_FIRST)
-            except (OSError, TimeoutError, BadMessage):
-                pass
+            at_once = min(RELEASES_MOST, 2 * at_once)
         self.log.warning("nobody took the release of what is held", question=name)
 
+    async def _releases(self, box, name):
+        """Whether this worker did; None where there was no connection to ask by."""
+        try:
+            async with asyncio.timeout(self.connect_within / 2):
+                status, _ = await self._call(box, "DELETE", platform.lease(name), small=True)
+            return status < 300
+        except NoRoom:
+            return None
+        except (OSError, TimeoutError, BadMessage):
+            return False
+
     async def _probe(self, core, box):
         outcome, report = door.TOO_SLOW, None
         try:
