--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -3,6 +3,7 @@
 Prefill workers read one after another at a stated pace, decode workers answer at once; traffic is uneven and its prompts are
 heavy-tailed. Every router hears of each start at a time of its own.
 """
+import sys
 from heapq import heappop, heappush
 from itertools import count
 from math import log, sqrt
@@ -154,3 +155,19 @@
             did += sum(work for at, work in server.sent if at <= server.born + 5 * S)
             may += sum(server.allowed(server.born + t) for t in range(0, 5 * S, LAW.cold_window // 10)) / 10
         return did / may
+
+
+def main(seeds):
+    """The table of docs/design.md, on the text that is imported."""
+    for routers, forgetful in ((2, 0), (20, 0), (30, 0), (200, 0), (30, 20)):
+        worst, used = [], []
+        for seed in range(1, (seeds // 2 if routers > 30 or forgetful else seeds) + 1):
+            world = World(seed, routers, forgetful=forgetful).run(20 * S)
+            worst += map(world.worst, world.starts)
+            used.append(world.used())
+        print(f"{routers} routers, {forgetful} forget: {len(worst)} starts, {sum(w > 1 for w in worst)} over the bound, "
+              f"worst {max(worst):.2f}, used {min(used):.2f} to {max(used):.2f}", flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if sys.argv[1:] else 40)
