--- a/tests/test_platform_list.py
+++ b/tests/test_platform_list.py
@@ -13,10 +13,10 @@
 # The list
 
 
-def test_the_list_tells_changes_ends_new_starts_and_new_addresses():
-    endpoints = EndpointList(Profile(SETTINGS), Log("n", Quiet()))
-    entry = {
-        "host": "a",
+def list_entry(name, **fields):
+    """An entry of the list as discovery tells it."""
+    usual = {
+        "host": name,
         "dial": "10.0.0.1:80",
         "site": "south",
         "class": "decode",
@@ -25,6 +25,12 @@
         "share": 1.0,
         "born_ms": 0,
     }
+    return usual | fields
+
+
+def test_the_list_tells_changes_ends_new_starts_and_new_addresses():
+    endpoints = EndpointList(Profile(SETTINGS), Log("n", Quiet()))
+    entry = list_entry("a")
 
     def told(whole, *entries, seq=1):
         return endpoints.update(platform.EndpointUpdate(seq, whole, list(entries)), 50_000, 9_000)
--- /dev/null
+++ b/tests/test_system_call_failures.py
@@ -0,0 +1,36 @@
+"""System calls that fail for a moment, as Linux documents it: nobody but the call's own connection is harmed."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from platform_rig import WHOLE, World
+from rig import story
+
+from ramppulley.wire import sockets
+
+
+def failing(original, number, times=1):
+    """`original`, the first `times` calls of which raise this error."""
+    left = [times]
+
+    def call(*args, **more):
+        if left[0]:
+            left[0] -= 1
+            raise OSError(number, "planted")
+        return original(*args, **more)
+
+    return call
+
+
+@story
+async def test_an_error_while_an_accepted_socket_is_set_up_ends_no_other_clients_service():
+    async with World() as world:
+        for number in (errno.ENOBUFS, errno.ENOMEM, errno.EINVAL):
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(sockets, "Transport", failing(sockets.Transport, number))
+                with socket.create_connection(("127.0.0.1", world.port)):  # accepted with the planted error
+                    await asyncio.sleep(0.05)
+            async with asyncio.timeout(2.0):
+                assert (await world.ask(f"q-{number}"))[2:] == (WHOLE, True)
