Worker ages survive a stepped clock; accepting survives any error; gone workers are forgotten

Cause: the wall clock read at each update (EndpointList._born, Fleet.update); Transport() outside any try in Listener._accept, in a task that nobody watched; no removal anywhere in Workers, EndpointList, Fleet, BaseConnector. Change: StartAges (service/clock.py) takes the younger of two ages, by the wall clock and by the anchor of the first update carried on by the monotonic clock; accepting is one guarded step, its task is started again if it ends, TCP_NODELAY is best effort; gone workers are kept 30 s. Ruled out: dropping a worker's entry at once, as a KV state that it holds may still be released there, and an id that comes back within moments is the same worker. A step of the wall clock before the process started cannot be seen by it.

--- a/ramppulley/engines/attempts.py
+++ b/ramppulley/engines/attempts.py
@@ -26,6 +26,7 @@
 
 SETTLE_TIMEOUT_S = 1.0  # cancelled attempts and the releases behind them get so long before `close`
 SETTLE_POLL_S = 0.005
+GONE_RETENTION_S = 30.0  # what is kept for a worker that is gone: what it holds may still be released there
 MAX_CALL_BODY_BYTES = 1 << 20  # of the response to a control call
 _STAGES: list[str] = list(Stage)
 
@@ -55,6 +56,7 @@
         self, address: Address, max_connections: int, idle_timeout_s: float, budget: ConnectionBudget | None
     ) -> None:
         self.address = address
+        self.gone_since: float | None = None  # by the clock of the event loop
         self.extensions: frozenset[str] = frozenset()  # of the protocol, that it has announced
         self.connections = ConnectionPool(*address, max_connections, idle_timeout_s, budget)
 
@@ -110,9 +112,21 @@
             worker.connections.idle_timeout_s = seconds
 
     def expire_idle(self) -> None:
-        """Closes the connections that have been idle for too long; to be called now and then."""
+        """Closes the connections that have been idle for too long, and forgets workers that have been gone for long; to be
+        called now and then."""
         for worker in self.workers.values():
             worker.connections.expire_idle()
+        for box in [box for box, worker in self.workers.items() if self._gone_for_long(box, worker)]:
+            self.workers.pop(box).connections.close()
+
+    def _gone_for_long(self, box: door.Box, worker: Worker) -> bool:
+        if box.state != "gone":
+            worker.gone_since = None
+            return False
+        now = asyncio.get_running_loop().time()
+        if worker.gone_since is None:
+            worker.gone_since = now
+        return now - worker.gone_since >= GONE_RETENTION_S
 
     def has_releases(self) -> bool:
         """Whether KV state that workers hold is about to be released."""
@@ -150,6 +164,7 @@
     def start(self, core: Any, attempt: Out) -> None:
         """Begins an attempt; its End is reported to `core`."""
         attempt.stage, attempt.listed = Stage.QUEUE, self._listed_state(attempt.box)
+        attempt.connections = self._pool_of(attempt.box)  # a worker that is chosen is listed
         attempt.task = self._spawn(self._run_attempt(core, attempt))
         attempt.task.add_done_callback(lambda task: self._attempt_ended(core, attempt, self._end_of(attempt, task)))
 
@@ -211,8 +226,17 @@
             return End(door.FAULT, f"a fault in the router: {error!r}")
         return task.result()
 
-    def _listed_state(self, box: door.Box) -> ListedState:
-        return ListedState(box.state, box.born, self.workers[box].address)
+    def _listed_state(self, box: door.Box) -> ListedState | None:
+        """None for a worker that was gone for long."""
+        worker = self.workers.get(box)
+        return None if worker is None else ListedState(box.state, box.born, worker.address)
+
+    def _pool_of(self, box: door.Box) -> ConnectionPool:
+        """Raises ConnectionRefusedError for a worker that was gone for long."""
+        worker = self.workers.get(box)
+        if worker is None:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, "the worker is gone")
+        return worker.connections
 
     def _final_check(self, core: Any, attempt: Out) -> End | None:
         """The End of an attempt that must not begin any more. No wait lies between this and the first byte."""
@@ -227,7 +251,7 @@
 
     async def _run_attempt(self, core: Any, attempt: Out) -> End:
         """One attempt from its wait for a connection to its End; raises only faults of our own and CancelledError."""
-        run = AttemptRun(self.workers[attempt.box].connections, http.AnswerParser(self.max_body_bytes))
+        run = AttemptRun(attempt.connections, http.AnswerParser(self.max_body_bytes))
         try:
             async with asyncio.timeout(core.remaining(attempt) / TENTHS) as timeout:
                 transport = await self._write_on_a_connection(core, attempt, run)
--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -71,7 +71,7 @@
         """Reports an attempt's end; a KV state that a prefill may have left unnamed is released by the attempt's id."""
         super()._attempt_ended(core, attempt, end)
         unknown = attempt.reads and end.outcome not in door.NEVER_RAN and not self.closing
-        if unknown and "release" in self.workers[attempt.box].extensions:
+        if unknown and "release" in self._extensions(attempt.box):
             self._call_in_order(
                 attempt.life, attempt.box, self._release(attempt.life, attempt.box, None, f"-s{attempt.number}")
             )
@@ -79,7 +79,7 @@
     def reserve(self, core, life, box):
         async def call():
             held = False
-            if "hold" in self.workers[box].extensions:
+            if "hold" in self._extensions(box):
                 body = msgspec.json.encode({"request_id": life.request.name, "prompt_tokens": life.slip.prompt})
                 try:
                     async with asyncio.timeout(self.connect_timeout_s):
@@ -92,7 +92,7 @@
         self._call_in_order(life, box, call())
 
     def release(self, life, box, state):
-        if "release" in self.workers[box].extensions:
+        if "release" in self._extensions(box):
             self._call_in_order(life, box, self._release(life, box, state))
 
     def has_releases(self):
@@ -141,9 +141,14 @@
         self._spawn(self._guarded(ask(), lambda: core.probed(box, door.NO_ROUTE, None)))
 
     # Inside
+    def _extensions(self, box):
+        """Of the protocol, that this worker has announced."""
+        worker = self.workers.get(box)
+        return frozenset() if worker is None else worker.extensions
+
     async def _call(self, box, method, path, body=b""):
         """One control call beside the requests: (status, headers, body)."""
-        connections = self.workers[box].connections
+        connections = self._pool_of(box)
         transport = await connections.acquire_reserved(self.connect_timeout_s)
         try:
             parser = await self._exchange(
@@ -200,7 +205,7 @@
 
     async def _read_to_end(self, core, attempt, transport, parser, stream_timeout):
         streams, report = None, None
-        worker = self.workers[attempt.box]
+        worker = self.workers.get(attempt.box)
         while not parser.done:
             data = await transport.receive()
             if not data:
@@ -221,7 +226,7 @@
                 raise
             if parser.status and attempt.stage == proof.Stage.WAIT:
                 attempt.stage = proof.Stage.ANSWER
-                if EXTENSIONS_HEADER in parser.headers:
+                if EXTENSIONS_HEADER in parser.headers and worker is not None:
                     worker.extensions = frozenset(parser.headers[EXTENSIONS_HEADER].replace(",", " ").split())
                     if worker.connections.reserved is None:
                         self._spawn(worker.connections.open_reserved(self.connect_timeout_s))
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -70,7 +70,8 @@
     def record_response(self, box: door.Box) -> None:
         """A worker has just responded."""
         self.last_response.pop(box, None)
-        self.last_response[box] = asyncio.get_running_loop().time()
+        if box.state != "gone":
+            self.last_response[box] = asyncio.get_running_loop().time()
 
     def close_worker(self, box: door.Box) -> None:
         """A worker is gone: its idle connections are not needed any more."""
@@ -144,7 +145,7 @@
             stale = now - self.last_response.get(box, 0) > RECENT_RESPONSE_S
             return stale, not self.workers[box].connections.idle
 
-        return sorted(boxes, key=rank)
+        return sorted((box for box in boxes if box in self.workers), key=rank)
 
     async def _run_release(self, request_id: str, delay_s: float) -> None:
         """Asks one worker, then two at once, then four: those that responded last may all have been cut off at once."""
@@ -205,7 +206,7 @@
         self, box: door.Box, method: str, target: str, control: bool = False
     ) -> tuple[int, dict[str, Any] | None]:
         """One small exchange: (status, a load report's figures or None)."""
-        connections = self.workers[box].connections
+        connections = self._pool_of(box)
         transport = await connections.acquire(self.connect_timeout_s, control=control)
         reusable = False
         try:
--- a/ramppulley/fleet/listing.py
+++ b/ramppulley/fleet/listing.py
@@ -2,13 +2,16 @@
 
 from typing import Literal
 from urllib.parse import urlsplit
+from weakref import WeakKeyDictionary
 from zlib import crc32
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
 from ramppulley import door
+from ramppulley.service.clock import StartAges
 
 TENTHS = 10_000
+GONE_RETENTION = 30 * TENTHS  # a worker that comes back within this is the same one
 
 
 class Entry(BaseModel):
@@ -61,7 +64,9 @@
     """Boxes by name; `update` brings them to a new list and tells what changed, by pool."""
 
     def __init__(self):
-        self.boxes, self.entries, self.names = {}, {}, {}  # names: by box, also of those that are gone
+        self.boxes, self.entries, self.gone_since = {}, {}, {}  # by name
+        self.names = WeakKeyDictionary()  # by box, as long as anybody knows it
+        self.ages = StartAges()
 
     def name_of(self, box):
         return self.names.get(box, "?")
@@ -72,6 +77,7 @@
         A worker that is not listed any more is gone; one that moved to another pool is a new worker there.
         """
         changed, listed = [], set()
+        self.ages.observe(now, int(wall * 1000))
         for entry in entries:
             listed.add(entry.name)
             old = self.entries.get(entry.name)
@@ -95,7 +101,7 @@
             box.cell, box.zone = crc32(entry.cell.encode()), crc32(entry.zone.encode())
             box.memory, box.weight, box.state = entry.memory_tokens, entry.weight, entry.state
             if old is None or old.started != entry.started:
-                born = None if entry.started is None else now - int(max(0.0, wall - entry.started) * TENTHS)
+                born = None if entry.started is None else now - self._age(entry.started, now, wall)
                 box.born = born if born is None else born or -1
             self.entries[entry.name] = entry
             changed.append((entry.pool, box, entry.address))
@@ -104,4 +110,16 @@
             if name not in listed and box is not None and box.state != "gone":
                 box.state = "gone"
                 changed.append((entry.pool, box, entry.address))
+        self._forget_gone(now)
         return changed
+
+    def _age(self, started, now, wall):
+        return self.ages.age_ms(int(started * 1000), now, int(wall * 1000)) * (TENTHS // 1000)
+
+    def _forget_gone(self, now):
+        """Keeps nothing of workers that have been gone for long."""
+        for name, box in list(self.boxes.items()):
+            if box.state != "gone":
+                self.gone_since.pop(name, None)
+            elif now - self.gone_since.setdefault(name, now) >= GONE_RETENTION:
+                del self.boxes[name], self.entries[name], self.gone_since[name]
--- a/ramppulley/fleet/platform/endpoint_list.py
+++ b/ramppulley/fleet/platform/endpoint_list.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Iterable
 from typing import Any, NamedTuple
+from weakref import WeakKeyDictionary
 
 from ramppulley import door
 from ramppulley.fleet.platform.log_throttle import Log, LogThrottle
 from ramppulley.profile import Profile, WorkerEntry, Workers
+from ramppulley.service.clock import StartAges
 from ramppulley.wire import platform
 from ramppulley.wire.faults import BadMessage
 
 SAME_START_MS = 100  # two starts told that lie no further apart are one
 TENTHS_PER_MS = 10  # of the router's clock
 TENTHS_PER_S = 10_000
+GONE_RETENTION = 30 * TENTHS_PER_S  # a worker that comes back within this is the same one
 
 
 class Endpoint(NamedTuple):
@@ -50,10 +53,11 @@
 
     def __init__(self, profile: Profile, log: Log) -> None:
         self.log, self.workers, self.seq = log, Workers(profile), 0
-        self.addresses: dict[door.Box, platform.Address] = {}
+        self.addresses: WeakKeyDictionary[door.Box, platform.Address] = WeakKeyDictionary()
         self.starts: dict[str, Start] = {}  # by id
         self.placements: dict[str, Placement] = {}  # by id
-        self.fault_lines = LogThrottle()
+        self.gone_since: dict[str, int] = {}  # by id, the one that went longest ago first
+        self.ages, self.fault_lines = StartAges(), LogThrottle()
         self._use(profile)
 
     def _use(self, profile: Profile) -> None:
@@ -89,6 +93,7 @@
         An entry that cannot be read leaves its worker as it was, also on a whole list. Yet one that is said to drain or
         to be gone gets nothing new, whatever else its entry says.
         """
+        self.ages.observe(now, wall_ms)
         parsed = ParsedEntries()
         for entry in update.entries:
             try:
@@ -99,7 +104,22 @@
             self.log.warning("entry of the list passed over", fault=parsed.faults[0], entries=len(parsed.faults))
         self.seq = update.seq
         boxes = self.workers.update(parsed.entries, update.whole, parsed.unreadable)
-        return self._with_addresses(boxes, parsed.addresses)
+        changed = self._with_addresses(boxes, parsed.addresses)
+        self._forget_gone(boxes, now)
+        return changed
+
+    def _forget_gone(self, changed: Iterable[door.Box], now: int) -> None:
+        """Keeps nothing of workers that have been gone for long: a fleet replaces its workers again and again."""
+        for box in changed:
+            name = self.workers.ids[box]
+            if box.state != "gone":
+                self.gone_since.pop(name, None)
+            elif self.workers.boxes.get(name) is box:  # else another worker of that id took its place
+                self.gone_since.setdefault(name, now)
+        for name in [name for name, since in self.gone_since.items() if now - since >= GONE_RETENTION]:
+            self.workers.forget(name)
+            for kept in (self.gone_since, self.starts, self.placements):
+                kept.pop(name, None)
 
     def _parse(self, entry: dict[str, Any], parsed: ParsedEntries, now: int, wall_ms: int) -> None:
         """Parses one entry; raises BadMessage before it has added anything."""
@@ -147,7 +167,7 @@
         start = self.starts.get(name, Start(0, None))
         if abs(born_ms - start.born_ms) < SAME_START_MS:
             return start.born
-        born = now - max(0, wall_ms - born_ms) * TENTHS_PER_MS or -1
+        born = now - self.ages.age_ms(born_ms, now, wall_ms) * TENTHS_PER_MS or -1
         self.starts[name] = Start(born_ms, born)
         return born
 
--- a/ramppulley/profile.py
+++ b/ramppulley/profile.py
@@ -4,6 +4,7 @@
 the module of a setting, a worker, a question or a report is therefore the same.
 """
 
+import weakref
 import zlib
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
@@ -219,7 +220,7 @@
     def __init__(self, profile: Profile) -> None:
         self.profile = profile
         self.boxes: dict[str, door.Box] = {}  # by id; one that another worker replaced is not in it
-        self.ids: dict[door.Box, str] = {}
+        self.ids: weakref.WeakKeyDictionary[door.Box, str] = weakref.WeakKeyDictionary()  # also of those forgotten
 
     def update(self, entries: Iterable[WorkerEntry], whole: bool, unread: Iterable[str] = ()) -> list[door.Box]:
         """Brings the boxes to what these entries say, and gives those that were named or ended.
@@ -261,6 +262,10 @@
             box.state = "gone"
         return ended
 
+    def forget(self, name: str) -> None:
+        """A worker that is gone for good: one of its id that comes later is another one."""
+        del self.boxes[name]
+
     def memory_of(self, kind: int) -> int:
         """Tokens that a worker of this kind holds; 0 where the settings do not tell."""
         memory = self.profile.memory
--- a/ramppulley/service/clock.py
+++ b/ramppulley/service/clock.py
@@ -8,6 +8,36 @@
 from typing import Any
 
 TENTHS = 10_000  # in a second
+TENTHS_PER_MS = 10
+
+
+class StartAges:
+    """Ages of workers whose starts are told by the wall clock, which may be stepped while this process runs.
+
+    The first reading is an anchor from which the monotonic clock goes on. Where the two differ, the younger age counts: a
+    worker may be taken to be in slow start for longer than it is, never for less.
+
+    >>> ages = StartAges()
+    >>> ages.age_ms(1_000, now=0, wall_ms=3_000)
+    2000
+    >>> ages.age_ms(4_000, now=20_000, wall_ms=3_605_000), ages.age_ms(4_000, now=20_000, wall_ms=5_000)
+    (1000, 1000)
+    """
+
+    def __init__(self) -> None:
+        self._anchor: tuple[int, int] | None = None  # (now, wall_ms)
+
+    def age_ms(self, started_ms: int, now: int, wall_ms: int) -> int:
+        """How long ago it started. `now`: the router's clock; `wall_ms`: milliseconds since 1970 at that moment."""
+        if self._anchor is None:
+            self._anchor = now, wall_ms
+        anchor_now, anchor_wall_ms = self._anchor
+        steady_ms = anchor_wall_ms + (now - anchor_now) // TENTHS_PER_MS
+        return max(0, min(wall_ms, steady_ms) - started_ms)
+
+    def observe(self, now: int, wall_ms: int) -> None:
+        """A reading of both clocks: the first one is the anchor."""
+        self.age_ms(wall_ms, now, wall_ms)
 
 
 class LoopClock:
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -94,6 +94,7 @@
     task: Any = None  # the connector's
     end: tuple[int, End] | None = None  # (when, End)
     stage: str = ""  # how far it came, by the connector
+    connections: Any = None  # its worker's, by the connector
     listed: Any = None  # what the list said of the worker when it was chosen, by the connector
     remaining: int = 0  # of `time_out`, when its first byte was about to be written
 
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -51,6 +51,14 @@
         self._future = None
 
 
+def _disable_nagle(sock: socket.socket) -> None:
+    """Small writes go out at once. Where the system has no memory for it, they are held back a little, and arrive."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        pass  # reset already, or ENOBUFS, ENOMEM
+
+
 class Transport:
     """One connected socket.
 
@@ -73,7 +81,7 @@
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _disable_nagle(sock)
         self.sock, self.loop, self.closed = sock, asyncio.get_running_loop(), False
         self.opened_at: float | None = None  # by the clock of whoever sets it
         self.readable = ReadableEvent(sock, self.loop)
@@ -226,6 +234,7 @@
         self.serve, self.max_connections, self.free_capacity = serve, max_connections, free_capacity
         self.tasks: set[asyncio.Task[None]] = set()
         self.rejected = 0
+        self.failed_accepts = 0
         self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -245,36 +254,62 @@
         """Begins to accept; needs the running loop."""
         loop = asyncio.get_running_loop()
         self._readable = ReadableEvent(self.sock, loop)
-        self._accepting = loop.create_task(self._accept(self._readable))
+        self._start_accepting(self._readable)
         return self
 
     async def _accept(self, readable: ReadableEvent) -> None:
         """Until `stop`; the backlog is still served then, as the kernel has accepted those connections already."""
         while True:
             try:
-                sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError):
-                if self._stopping:
+                if not await self._accept_next(readable):
                     return
-                await readable.wait()
-                continue
-            except OSError as error:  # out of descriptors, or the peer left in between
+            except OSError as error:  # out of descriptors or memory, or the peer left in between
+                self.failed_accepts += 1
                 if error.errno in (errno.EMFILE, errno.ENFILE):
                     self.free_capacity()  # or nobody is accepted until a connection ends by itself
                 await asyncio.sleep(ACCEPT_PAUSE_S)
-                continue
-            if await self._wait_for_capacity():
-                self._start_serving(sock)
-            else:
-                self.rejected += 1
-                sock.close()
-            await asyncio.sleep(0)  # the other tasks' turn, however many connections arrive
+
+    async def _accept_next(self, readable: ReadableEvent) -> bool:
+        """Accepts one connection, or waits for one; whether there may be more. Raises OSError."""
+        try:
+            sock, _ = self.sock.accept()
+        except (BlockingIOError, InterruptedError):
+            if self._stopping:
+                return False
+            await readable.wait()
+            return True
+        if await self._wait_for_capacity():
+            self._start_serving(sock)
+        else:
+            self.rejected += 1
+            sock.close()
+        await asyncio.sleep(0)  # the other tasks' turn, however many connections arrive
+        return True
 
     def _start_serving(self, sock: socket.socket) -> None:
-        task = asyncio.get_running_loop().create_task(self._run(Transport(sock)))
+        """Raises OSError where the socket cannot be set up, which is closed then."""
+        try:
+            transport = Transport(sock)
+        except OSError:
+            sock.close()
+            raise
+        task = asyncio.get_running_loop().create_task(self._run(transport))
         self.tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
+    def _on_accepting_done(self, task: asyncio.Task[None]) -> None:
+        """Accepting goes on whatever ended its task: a process must not listen and serve nobody."""
+        if task.cancelled() or task.exception() is None or self._readable is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_exception_handler({"message": "fault while accepting", "exception": task.exception(), "task": task})
+        loop.call_later(ACCEPT_PAUSE_S, self._start_accepting, self._readable)
+
+    def _start_accepting(self, readable: ReadableEvent) -> None:
+        if not self._stopping:
+            self._accepting = asyncio.get_running_loop().create_task(self._accept(readable))
+            self._accepting.add_done_callback(self._on_accepting_done)
+
     async def _wait_for_capacity(self) -> bool:
         """Whether one more connection may be served, evicting others where needed.
 
