--- a/tests/test_long_life.py
+++ b/tests/test_long_life.py
@@ -44,6 +44,19 @@
     assert [len(part) for part in kept] == [2, 2, 2, 1, 2] and len(engines.workers) == 2
 
 
+def test_the_decisions_forget_workers_that_are_gone_once_nothing_is_out_there():
+    host = FakeHost([box(1, "read"), box(2, "write")])
+    for mark in range(10, 10 + REPLACED):
+        worker = box(mark, "read")
+        host.router.listed(host.now, [worker])
+        host.wait(S)
+        worker.state = "gone"
+        host.router.listed(host.now, [worker])
+    host.wait(60 * S)
+    host.router.listed(host.now, [host.boxes[0]])
+    assert len(host.router.workers) == 2
+
+
 def test_a_worker_that_is_gone_while_a_request_is_out_there_is_remembered_until_its_outcome():
     host = FakeHost([box(1, "read"), box(2, "write")])
     slip = host.ask()
