A client that stops inside any request gets its error in 3 s; the decisions forget gone workers

Cause, see the failing tests before: a later request had 5 s in all, also where its client stopped at once; Router.workers only grew. Change: a request that has begun ends 2 s after its last byte (408), and after its whole time as before; a worker that is gone for 20 s with nothing out there, as old as anything that is remembered of refusals, is dropped at the next update, Worker.number comes from a count. Slow writers that go on are served (a test of 0.8 s pauses).

--- a/ramppulley/fronts/client_connection.py
+++ b/ramppulley/fronts/client_connection.py
@@ -12,6 +12,9 @@
 from ramppulley.wire import http
 from ramppulley.wire.sockets import Transport
 
+STALLED_TIMEOUT_S = (
+    2.0  # without a byte within a request that has begun: its client is owed an answer 3 s after it stopped
+)
 LINGER_TIMEOUT_S, LINGER_MAX_BYTES = 0.4, 1 << 20  # how long, and how much of what, a client still sends is read
 SEND_SLICE_BYTES = 16 << 10  # a client has to take some of so many bytes within its time
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -60,15 +63,16 @@
     ) -> http.Request | None:
         """The next whole request; None at the end of the connection.
 
-        Raises TimeoutError after `idle_timeout_s` without a byte, or `request_timeout_s` for a request that has begun,
-        and BadMessage. While it waits with nothing begun, it is in `idle_connections`.
+        Raises TimeoutError after `idle_timeout_s` without a byte, `request_timeout_s` for a request that has begun, or
+        STALLED_TIMEOUT_S without a byte within it, and BadMessage. While it waits with nothing begun, it is in
+        `idle_connections`.
         """
         loop, parser, began = asyncio.get_running_loop(), self.parser, None
         while not parser.ready:
             timeout_s = idle_timeout_s
             if parser.begun:
                 began = began or loop.time()
-                timeout_s = began + request_timeout_s - loop.time()
+                timeout_s = min(began + request_timeout_s - loop.time(), STALLED_TIMEOUT_S)
                 if timeout_s <= 0:
                     raise TimeoutError
             elif stopping():
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -6,7 +6,7 @@
 """
 from bisect import bisect_right
 from collections import deque
-from itertools import islice
+from itertools import count, islice
 from operator import attrgetter
 from random import Random
 from zlib import crc32
@@ -49,13 +49,13 @@
     __slots__ = (       # more than an instance's dictionary holds at full speed
         "box chance number name reads writes state born probing missed out kept"
         " unread memory shared shared_until reports starts waits lately paces streamed turnover refused heard"
-        " hearsay told cold_next worked_out worked_at worked_turn doubted doubted_at trial_at strikes plain"
+        " hearsay told cold_next worked_out worked_at worked_turn doubted doubted_at trial_at strikes plain gone_at"
     ).split()
 
     def __init__(self, router, box):
         super().__init__(router)
         self.box, self.chance = box, router.chance
-        self.number = len(router.workers)       # among all that were ever listed
+        self.number = next(router.numbers)      # among all that were ever listed
         self.name, self.reads, self.writes = box.mark % 9973, box.role != "write", box.role != "read"
         self.state, self.born, self.probing, self.missed = box.state, box.born, False, 0
         self.out, self.kept = [], Kept(box.memory)
@@ -69,6 +69,7 @@
         self.heard, self.told, self.cold_next, self.hearsay = self.now, 0, 0, None
         self.worked_out, self.worked_at, self.worked_turn = None, 0, -1
         self.doubted, self.doubted_at, self.trial_at, self.strikes = "", 0, 0, 0
+        self.gone_at = self.now
         self.plain = self.state == "ready" and self.born is None        # surely usable
 
     def figures(self):
@@ -174,6 +175,10 @@
         return self.plain or (self.open(question) and (not self.doubted or (
             self.now >= self.trial_at and not self.out and not self.router.permits.probes and self.box.trial)))
 
+    def is_forgotten(self):
+        """Gone for so long that nothing known of it says anything of others; one that comes back is another one."""
+        return self.state == "gone" and not self.out and not self.probing and self.now - self.gone_at >= REFUSED_FOR
+
     def is_plain(self):
         self.plain = self.state == "ready" and self.born is None and not self.doubted
 
@@ -188,6 +193,8 @@
                 self.cold_next = self.now + int(self.chance() * self.cold_gap())
         if self.doubted and state == "ready" != self.state:     # its trials ended with its drain
             self.router.host.remind(TICK, self)
+        if state == "gone" != self.state:
+            self.gone_at = self.now
         self.state, self.kept.memory, self.shared_until = state, self.box.memory, 0
         self.is_plain()
 
@@ -709,7 +716,7 @@
     def __init__(self, host, *, seed, now=0, **settings):
         super().__init__(self)
         self.host, self.clock, self.due, self.chance = host, now, deque(), Random(seed).random
-        self.workers, self.questions, self.fleet_figures = {}, {}, {}
+        self.workers, self.questions, self.fleet_figures, self.numbers = {}, {}, {}, count()
         self.roster = self.usual = Roster((), NEAR_REACH)
         self.prompts = deque(maxlen=8 * SAMPLES)
         self.busy, self.fresh = set(), deque()  # workers that may owe a first token; questions without
@@ -790,6 +797,8 @@
             if box not in self.workers:
                 self.workers[box] = Worker(self, box)
         self.tell(now, *[(self.workers[box], "listed", box.state, box.born) for box in boxes])
+        for worker in [w for w in self.workers.values() if w.is_forgotten()]:
+            del self.workers[worker.box]
         usual = [w for w in self.workers.values() if w.box.usual]
         self.roster = self.usual = Roster(self.workers.values(), NEAR_REACH)
         if len(usual) < len(self.workers):
@@ -817,7 +826,7 @@
                   (send.question, "outcome", send, outcome, final), (self.desk, "serve"))
 
     def place(self, now, slip, box, held):
-        if slip in self.questions:
+        if slip in self.questions and box in self.workers:
             self.tell(now, (self.questions[slip], "place", self.workers[box], held))
 
     def left(self, now, slip):
@@ -825,7 +834,8 @@
             self.tell(now, (self.questions[slip], "left"))
 
     def probed(self, now, box, outcome, report):
-        self.tell(now, (self.workers[box], "probed", outcome, report), (self.desk, "serve"))
+        if box in self.workers:
+            self.tell(now, (self.workers[box], "probed", outcome, report), (self.desk, "serve"))
 
     def reminded(self, now, what):
         self.tell(now, (what, "time_up"))
