Failing tests: timers that come early, and the decisions' tick that is lost by one

Evidence: Question.on_unanswered printed with its time, 80 ms apart, then nothing. Cause: LoopClock.now reads the monotonic clock, LoopClock.after counts from uvloop's time, which is the turn's begin cut to whole milliseconds: a timer comes up to a turn and 1 ms early. Router.on_time_up takes a reminder before tick_at for one of a look, does nothing, and sets no other; tick_at stays set, so no later request starts the tick either. From then on a silent worker is not seen, and who waits in line is looked at at outcomes alone.

--- /dev/null
+++ b/tests/test_timers.py
@@ -0,0 +1,51 @@
+"""A timer of the core comes at its time or later, never before: the decisions lose one that comes early."""
+
+import asyncio
+
+from platform_rig import SETTINGS, World, silent, stand_still
+from rig import story
+
+from ramppulley.service.clock import LoopClock
+
+MS = 10  # tenths
+
+
+@story
+async def test_a_timer_never_comes_before_its_time_however_long_the_turn_was_that_set_it():
+    clock, early = LoopClock(asyncio.get_running_loop()), []
+    for wait in (1, 3, 7 * MS, 20 * MS + 4):
+        for held_s in (0.0, 0.0007, 0.003, 0.02):
+            await asyncio.sleep(0)
+            stand_still(held_s)
+            due, rang = clock.now() + wait, asyncio.Event()
+
+            def ring(due=due, rang=rang):
+                if clock.now() < due:
+                    early.append(due - clock.now())
+                rang.set()
+
+            clock.after(wait, ring)
+            await rang.wait()
+    assert not early
+
+
+@story
+async def test_the_decisions_tick_goes_on_while_a_request_waits_for_its_first_token():
+    no_probes = SETTINGS | {"Bounds": SETTINGS["Bounds"] | {"Probing": False}}
+    async with World(settings=no_probes) as world:
+        core, ticks = world.node.core, []
+        remind = core._remind
+
+        def held_up(note):
+            if len(ticks) % 2 == 0:
+                stand_still(0.002)  # another call of this turn of the loop came first
+            if note is core.router:
+                ticks.append(core.clock.now())
+            remind(note)
+
+        core._remind = held_up
+        world.readers[0].scripts.append(silent)
+        asking = asyncio.create_task(world.ask("q-1", req_deadline_ms="1500"))
+        await asyncio.sleep(1.2)
+        assert len(ticks) >= 10  # one in 80 ms
+        await asking
