Timers keep their time, so the decisions' tick is not lost; a silent decode pins no KV state

Cause as in the failing tests before: LoopClock.after counted from the loop's time, cut to milliseconds; PlatformConnector._start_release held a release back while any attempt was written, a decode on a connection that fell silent too. Change: LoopClock.after sets a timer that came early again (in whole milliseconds, rounded up). The module, on its tick, lets go of what a decode without an answer was handed let_go_within less a tick after the prefill's end, where the protocol's release leaves alone what an attempt waits for (Permits.release_beside; DROP_STATE frees only what no attempt waits for). Only outcomes that prove that the request arrived (door.ANSWERED) start that time anew. Ruled out: cancelling the decode, which an unsafe request would not survive.

--- a/ramppulley/door.py
+++ b/ramppulley/door.py
@@ -39,6 +39,7 @@
     probes: bool = False
     withdraw: bool = True
     places: bool = False  # a place may be held ahead at a writer
+    release_beside: bool = False  # a release leaves alone what an attempt that is out waits for
     longest_wait: int = 0  # longest time to come back that clients heed; 0 = may not be named
 
 
@@ -114,6 +115,7 @@
 DONE, READ, FAULT, NO_ROOM, NO_STATE = "done", "read", "fault", "no_room", "no_state"
 TOO_SLOW, NO_ROUTE, CUT, UNDONE, STALE = "too_slow", "no_route", "cut", "undone", "stale"
 SPOILT = "spoilt"  # a writer's answer began and cannot be read: it may have run, and the state that it fetched is gone
+ANSWERED = (DONE, READ, FAULT, NO_ROOM, NO_STATE, SPOILT)  # the worker had the whole request, and said so
 NEVER_RAN = (READ, NO_ROOM, NO_STATE, NO_ROUTE, STALE)
 
 
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -116,11 +116,13 @@
     def _start_release(self, life: Life) -> None:
         """Begins the release that is owed.
 
-        An attempt that still connects does not hold it up: while connections fail to come up, the time of what is held goes
-        on.
+        Only a prefill that was written holds it up, as the release might take what that has just left. A decode keeps what
+        it waits for. Until it is answered, it may not have arrived, and the time of what is held goes on.
         """
-        written = any(attempt.stage not in (Stage.QUEUE, Stage.CONNECT) for attempt in life.out)
-        if life in self.owed_releases and life not in self.running_releases and not written:
+        prefill_written = any(
+            attempt.reads and attempt.stage not in (Stage.QUEUE, Stage.CONNECT) for attempt in life.out
+        )
+        if life in self.owed_releases and life not in self.running_releases and not prefill_written:
             release = self._run_release(life.request.name, self.owed_releases.pop(life))
             task = self.running_releases[life] = self._spawn(release)
             task.add_done_callback(lambda _: self._release_ended(life))
--- a/ramppulley/profile.py
+++ b/ramppulley/profile.py
@@ -141,6 +141,7 @@
             probes=fields.at("Bounds.Probing", flag, False) and self.how != "none",
             withdraw=fields.at("Bounds.Cancel", flag, False),
             places=fields.at("Specifics.MayReserve", flag, False),
+            release_beside=True,  # the protocol: what no attempt waits for
             longest_wait=tenths(longest_wait),
         )
 
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -11,7 +11,20 @@
 from random import Random
 from zlib import crc32
 
-from ramppulley.door import CUT, DONE, FAULT, NEVER_RAN, NO_ROOM, NO_ROUTE, NO_STATE, READ, SPOILT, STALE, TOO_SLOW
+from ramppulley.door import (
+    ANSWERED,
+    CUT,
+    DONE,
+    FAULT,
+    NEVER_RAN,
+    NO_ROOM,
+    NO_ROUTE,
+    NO_STATE,
+    READ,
+    SPOILT,
+    STALE,
+    TOO_SLOW,
+)
 from ramppulley.parts import Actor, Figures, Kept, Roster, Samples, Send, Tenant, busiest, mean, middle, nudged
 
 MS = 10                         # tenths of a millisecond
@@ -281,6 +294,10 @@
                 usual = max(usual, self.read_time(0), max(s.expected for s in self.out))
             if quiet > SILENT_LEAST + SILENT_TIMES * usual:
                 self.doubt(f"silent {quiet // MS} ms, usual {usual // MS}")
+        if self.router.permits.release_beside:
+            for send in self.out:
+                if not send.reads and send.first is None:
+                    send.question.note("unanswered", send)
         for send in self.out if self.doubted else ():
             if send.first is None and send.start <= self.doubted_at:    # not its trial, which came later
                 send.question.note("doubted", send)
@@ -401,6 +418,13 @@
         if send in self.out and (send.reads or self.slip.use_case.effect == "pure"):
             self.drop(send)
 
+    def on_unanswered(self, send):
+        """A decode without an answer may not have arrived: what is held for it goes in time (rule 5), and where it did
+        arrive, a release leaves it what it waits for."""
+        overdue = self.now - self.idle >= self.router.lawbook.let_go_within - TICK
+        if self.held_by and overdue and send in self.out and send.first is None:
+            self.let_go()
+
     def drop(self, send):
         if self.permits.withdraw and not send.withdrawn and (send.first is None or self.slip.whole):
             send.withdrawn = True
@@ -408,7 +432,7 @@
 
     def on_outcome(self, send, outcome, final):
         self.out.remove(send)
-        if outcome not in (NO_ROUTE, STALE):    # while no connection comes up, what is held goes on waiting
+        if outcome in ANSWERED:     # else it may never have arrived, and what is held went on waiting
             self.idle = self.now
         if not send.reads and outcome not in NEVER_RAN and outcome != DONE:
             self.maybe_ran.append(send)
--- a/ramppulley/service/clock.py
+++ b/ramppulley/service/clock.py
@@ -51,8 +51,19 @@
         return time.monotonic_ns() // 100_000
 
     def after(self, wait: int, call: Callable[..., object], *args: Any) -> None:
-        """Calls it once so many tenths of a millisecond have passed."""
-        self.loop.call_later(max(0, wait) / TENTHS, call, *args)
+        """Calls it once so many tenths of a millisecond have passed by this clock, never before."""
+        self._call_at(self.now() + wait, call, args)
+
+    def _call_at(self, due: int, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        """The loop's time is cut to whole milliseconds, and a turn behind at worst: a timer that came early is set again."""
+        wait_ms = -(-(due - self.now()) // TENTHS_PER_MS)
+        self.loop.call_later(max(0, wait_ms) / 1000, self._on_timer, due, call, args)
+
+    def _on_timer(self, due: int, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        if self.now() < due:
+            self._call_at(due, call, args)
+        else:
+            call(*args)
 
 
 class PlayedClock:
--- a/tests/test_held_state_clock.py
+++ b/tests/test_held_state_clock.py
@@ -16,15 +16,20 @@
 
         @story
         async def told(kind=kind):
-            async with World(settings=PLAIN) as world:
+            async with World(writers=2, settings=PLAIN) as world:
                 written = []
 
                 async def hears_nothing(transport):
+                    if written:  # the other one, with the prompt read again
+                        world.yard.discard("q-1")
+                        await transport.send(GOOD)
+                        return
                     written.append(time.monotonic())
                     await world.until(lambda: releases(world.workers))
                     await transport.send(GONE)
 
-                world.writers[0].scripts.append(hears_nothing)
+                for writer in world.writers:
+                    writer.scripts.append(hears_nothing)
                 asking = asyncio.create_task(world.ask("q-1", req_kind=kind))
                 await world.until(lambda: releases(world.workers))
                 assert time.monotonic() - written[0] < RELEASE_S + SLACK_S
