--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -119,3 +119,27 @@
     host.now += 100 * MS
     later = host.ask(case=FLAT, session="b")
     assert host.told("send", later) and host.last(later)[2] is not busy
+
+
+def test_one_slow_answer_does_not_have_an_idle_fleet_refuse_for_seconds():
+    """Estimates learn from what is admitted alone: where none is, one request is let in to renew them."""
+    host = FakeHost([box(1, "both")], routers=1)
+    host.now = 10 * S
+
+    def asks(number, answer_ms):
+        slip = host.ask(prompt=10, session=f"s{number}")
+        admitted = bool(host.told("send", slip))
+        if admitted:
+            host.now += answer_ms * MS
+            host.first(slip)
+            host.ends(slip, door.DONE, final=True)
+        return admitted
+
+    assert asks(0, 900)
+    refused_since, longest = host.now, 0
+    for number in range(1, 60):
+        if asks(number, 10):
+            refused_since = host.now
+        longest = max(longest, host.now - refused_since)
+        host.wait(100 * MS)
+    assert longest <= 1.5 * host.case.promised
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -386,6 +386,23 @@
         client.sock.close()
 
 
+@story
+async def test_a_request_that_is_whole_after_the_shutdown_took_its_last_is_refused_and_not_begun():
+    """Term 18: what comes over 0.7 s after SIGTERM may not be under way at SIGKILL; refused, its client asks elsewhere."""
+    async with World() as world:
+        client, slow = Client(world.port), question("q-2")
+        client.sock.sendall(slow[:-10])
+        await world.until(lambda: any(c.parser.begun for c in world.node.front.new_connections.values()))
+        stop = stops(world, still=0.1)
+        await world.until(lambda: world.node.front.stopping)
+        await asyncio.sleep(0.1)
+        client.sock.sendall(slow[-10:])
+        assert (await client.rest()).startswith(b"HTTP/1.1 503")
+        assert not sent_on(world, "q-2")
+        await stop
+        client.sock.close()
+
+
 @story
 async def test_a_stream_is_passed_on_to_its_end_after_the_shutdown():
     async with World() as world:
--- a/tests/test_system_call_failures.py
+++ b/tests/test_system_call_failures.py
@@ -8,6 +8,7 @@
 from platform_rig import WHOLE, World
 from rig import story
 
+from ramppulley.engines import connections
 from ramppulley.wire import sockets
 
 
@@ -24,6 +25,16 @@
     return call
 
 
+def failing_async(original, number, times):
+    call = failing(lambda *args: None, number, times)
+
+    async def fails(*args, **more):
+        call()
+        return await original(*args, **more)
+
+    return fails
+
+
 @story
 async def test_an_error_while_an_accepted_socket_is_set_up_ends_no_other_clients_service():
     async with World() as world:
@@ -34,3 +45,12 @@
                     await asyncio.sleep(0.05)
             async with asyncio.timeout(2.0):
                 assert (await world.ask(f"q-{number}"))[2:] == (WHOLE, True)
+
+
+@story
+async def test_a_network_that_is_gone_from_this_machine_for_a_moment_makes_no_worker_suspect():
+    async with World(readers=3) as world:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(connections, "connect", failing_async(connections.connect, errno.ENETUNREACH, 3))
+            assert (await world.ask("q-1"))[2:] == (WHOLE, True)
+        assert not [worker for worker in world.node.core.router.workers.values() if worker.doubted]
