--- /dev/null
+++ b/tests/test_own_faults.py
@@ -0,0 +1,52 @@
+"""A fault of our own costs the request that met it an error, and no other request anything."""
+
+import asyncio
+
+import pytest
+from platform_rig import WHOLE, World, silent
+from rig import story
+
+from ramppulley.fronts.platform.requests import RequestTranslator
+from ramppulley.rules import Question, Router
+
+
+def planted(*_, **__):
+    raise RuntimeError("planted")
+
+
+@story
+async def test_a_fault_in_a_connections_task_is_answered_and_named_in_the_log():
+    async with World() as world:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(RequestTranslator, "translate", planted)
+            assert (await world.ask("q-1"))[0] == 500
+        assert "planted" in world.lines.text and "q-1" in world.lines.text
+        assert (await world.ask("q-2"))[2:] == (WHOLE, True)
+
+
+@story
+async def test_a_fault_in_a_requests_last_timer_still_has_it_answered_in_time():
+    async with World() as world:
+        world.readers[0].scripts.append(silent)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Question, "on_time_up", planted)
+            async with asyncio.timeout(1.5):  # a second, and half a second of slack
+                assert (await world.ask("q-1", req_deadline_ms="1000"))[0] >= 500
+        await world.until(lambda: not world.node.core.lives)
+        assert "planted" in world.lines.text
+
+
+@story
+async def test_a_fault_in_an_event_about_workers_is_named_and_ends_no_task():
+    async with World() as world:
+        core, box = world.node.core, next(iter(world.node.engines.workers))
+        for event, told in {
+            "listed": lambda: core.listed([box]),
+            "probed": lambda: core.probed(box, "done", None),
+            "configured": lambda: core.configured({}, use_cases=core.use_cases),
+        }.items():
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(Router, event, planted)
+                told()
+        assert world.lines.text.count("RuntimeError('planted')") >= 3
+        assert (await world.ask("q-2"))[2:] == (WHOLE, True)
