--- a/tests/test_own_faults.py
+++ b/tests/test_own_faults.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import pytest
-from platform_rig import WHOLE, World, silent
+from platform_rig import WHOLE, World
 from rig import story
 
 from ramppulley.fronts.platform.requests import RequestTranslator
-from ramppulley.rules import Question, Router
+from ramppulley.rules import Desk, Router
 
 
 def planted(*_, **__):
@@ -27,9 +27,9 @@
 @story
 async def test_a_fault_in_a_requests_last_timer_still_has_it_answered_in_time():
     async with World() as world:
-        world.readers[0].scripts.append(silent)
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(Question, "on_time_up", planted)
+            patch.setattr(Desk, "offer", lambda *_: False)  # it waits in line
+            patch.setattr(Router, "reminded", planted)
             async with asyncio.timeout(1.5):  # a second, and half a second of slack
                 assert (await world.ask("q-1", req_deadline_ms="1000"))[0] >= 500
         await world.until(lambda: not world.node.core.lives)
