One place for the rule, evidence, and guards around our own faults

Causes of the failing tests before, and changes: an exception in a connection's task is answered with 500 and named; each event told to the module is guarded; Core.check, four times a second, answers what is overdue by 0.1 s and releases what is held too long, whatever lost its timer.

--- a/ramppulley/daemon/platform/node.py
+++ b/ramppulley/daemon/platform/node.py
@@ -61,12 +61,15 @@
         )
         self.endpoints = EndpointList(self.profile, self.log)
         self.core = self._make_core()
+        self.core.held_limit = self.profile.lawbook.let_go_within
         known = self.configuration.known_endpoints
         if known is not None and known.entries:
             self._on_update(known)
         self.watch = self._make_watch().start()
         self.front = self._make_front().start()
-        self._housekeeping = loop.create_task(run_housekeeping(self.engines.expire_idle, self.log, self.sizes))
+        self._housekeeping = loop.create_task(
+            run_housekeeping(self.core.check, self.engines.expire_idle, self.log, self.sizes)
+        )
         self.log.info(
             "listening",
             port=self.front.port,
@@ -159,6 +162,7 @@
         self.engines.configure(profile)
         self.front.configure(profile, self._max_requests())
         self.core.configured(self._tenants(), **profile.of_module())
+        self.core.held_limit = profile.lawbook.let_go_within
         self._apply(self.endpoints.configure(profile))
 
     def sizes(self) -> dict[str, object]:
@@ -176,8 +180,9 @@
             "tasks": len(self.engines.tasks),
             "refused": self.front.refused_requests,
             "turned_away": self.front.listener.rejected,
+            "failed_accepts": self.front.listener.failed_accepts,
             "cpu_s": round(time.process_time(), 2),
-        }
+        } | self.core.audit.sizes()
 
     async def stop(self, accept_s: float = ACCEPT_AFTER_SIGTERM_S, timeout_s: float = SHUTDOWN_TIMEOUT_S) -> None:
         """Shuts down in order: requests that still come, then answers to all that were taken, then what is held.
--- a/ramppulley/engines/attempts.py
+++ b/ramppulley/engines/attempts.py
@@ -18,8 +18,10 @@
     ConnectionPool,
 )
 from ramppulley.engines.proof import Failure, Stage, outcome_of
+from ramppulley.service import permission
 from ramppulley.service.clock import TENTHS
 from ramppulley.service.neutral import End, Out
+from ramppulley.service.permission import AttemptFacts, Refusal, WriteFacts
 from ramppulley.wire import http
 from ramppulley.wire.faults import BadMessage
 from ramppulley.wire.sockets import Transport
@@ -222,7 +224,7 @@
             return End(outcome_of(attempt.stage, Failure.CANCELLED), "withdrawn")
         error = task.exception()
         if error is not None:  # our own; as we cannot tell how far it came, it may have run
-            self.log.error("connector fault", error=repr(error))
+            self.log.error("connector fault", question=attempt.life.request.name, error=repr(error))
             return End(door.FAULT, f"a fault in the router: {error!r}")
         return task.result()
 
@@ -240,14 +242,21 @@
 
     def _final_check(self, core: Any, attempt: Out) -> End | None:
         """The End of an attempt that must not begin any more. No wait lies between this and the first byte."""
-        if attempt.life.sink.gone():
+        refusal = permission.may_begin_attempt(
+            AttemptFacts(
+                client_gone=attempt.life.sink.gone(),
+                answered=attempt.life.ending is not None,
+                worker_changed=self._listed_state(attempt.box)
+                != attempt.listed,  # it drains, is gone, began anew or moved
+                remaining=core.remaining(attempt),
+            )
+        )
+        if refusal is None:
+            return None
+        core.refused(attempt, refusal)
+        if refusal is Refusal.CLIENT_GONE:
             core.left(attempt.life)
-            return End(outcome_of(attempt.stage, Failure.CANCELLED), "the client left")
-        if self._listed_state(attempt.box) != attempt.listed:  # rules 3 and 4: it drains, is gone, began anew or moved
-            return End(outcome_of(attempt.stage, Failure.CANCELLED), "the list told otherwise of the worker")
-        if core.remaining(attempt) <= 0:
-            return End(outcome_of(attempt.stage, Failure.CANCELLED), "the time ran out before the first byte")
-        return None
+        return End(outcome_of(attempt.stage, Failure.CANCELLED), refusal)
 
     async def _run_attempt(self, core: Any, attempt: Out) -> End:
         """One attempt from its wait for a connection to its End; raises only faults of our own and CancelledError."""
@@ -300,15 +309,17 @@
         to an earlier one, or the connection's end. No worker begins a request without its last byte, so that it may be
         written again on another connection. A new connection has no earlier request: what it does is its worker's.
         """
-        if transport.idle_before_use_s is None:
+        was_idle = transport.idle_before_use_s is not None
+        if not was_idle:
             await transport.send(request)
             return True
         try:
             await transport.send(request[:-1])
-            if not transport.is_quiet():
-                return False
+            facts = WriteFacts(was_idle, last_byte_written=False, quiet=transport.is_quiet())
+            if permission.may_write_last_byte(facts) is not None:
+                return permission.may_repeat_write(facts) is not None
             await transport.send(request[-1:])
-        except OSError:
+        except OSError:  # also of the last byte: it was not taken
             return False
         return True
 
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -18,8 +18,10 @@
 from ramppulley.engines.proof import Failure, Stage, outcome_of
 from ramppulley.engines.stream_timeout import StreamTimeout
 from ramppulley.engines.usage import usage_of
+from ramppulley.service import permission
 from ramppulley.service.clock import TENTHS
 from ramppulley.service.neutral import End, Life, Out
+from ramppulley.service.permission import ReleaseFacts
 from ramppulley.wire import http, platform
 from ramppulley.wire.faults import BadMessage
 from ramppulley.wire.sockets import Transport
@@ -122,7 +124,8 @@
         prefill_written = any(
             attempt.reads and attempt.stage not in (Stage.QUEUE, Stage.CONNECT) for attempt in life.out
         )
-        if life in self.owed_releases and life not in self.running_releases and not prefill_written:
+        facts = ReleaseFacts(life in self.owed_releases, life in self.running_releases, prefill_written)
+        if permission.may_release(facts) is None:
             release = self._run_release(life.request.name, self.owed_releases.pop(life))
             task = self.running_releases[life] = self._spawn(release)
             task.add_done_callback(lambda _: self._release_ended(life))
--- a/ramppulley/fronts/client_connection.py
+++ b/ramppulley/fronts/client_connection.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ramppulley.service import permission
 from ramppulley.wire import http
 from ramppulley.wire.sockets import Transport
 
@@ -37,6 +38,8 @@
         self.ending, self.finished = False, False
         self.early_bytes = b""  # what came while a request waited for its answer, one buffer at most
         self.waiting_since = 0.0  # for its next bytes
+        self.unanswered: http.Request | None = None  # read whole, its answer not ended
+        self.answer_begun = False  # its first byte may have gone out
 
     def close(self) -> None:
         """Frees the parser; the listener closes the socket."""
@@ -103,9 +106,9 @@
                 await self._wait_for_bytes(deadline - loop.time(), waiting)
             timed_out = loop.time() >= deadline
             data = self.take()
-            if data is not None:
+            if permission.may_close_idle(bytes_waiting=data is not None) is not None:
                 self.ending = False
-                return data
+                return data or b""
             if self.ending:
                 return b""
             if timed_out:
--- a/ramppulley/fronts/platform/server.py
+++ b/ramppulley/fronts/platform/server.py
@@ -14,8 +14,11 @@
 from ramppulley.fronts.platform.requests import RequestTranslator
 from ramppulley.fronts.response_stream import ResponseStream
 from ramppulley.profile import Profile
+from ramppulley.service import permission
+from ramppulley.service.audit import Action, Violation
 from ramppulley.service.core import Core
 from ramppulley.service.neutral import CLIENT_LEFT, COMPLETED, Ending, InferenceRequest, Life
+from ramppulley.service.permission import Refusal, RequestFacts
 from ramppulley.wire import http, platform
 from ramppulley.wire.faults import BadMessage
 from ramppulley.wire.sockets import Listener, Transport
@@ -29,6 +32,12 @@
 SLOW_CLIENT_TIMEOUT_S = 5.0  # for a later request, and for a client that does not read
 LAST_REQUEST_GRACE_S = 0.05  # after the shutdown took its last request, for those that had come by then
 MAX_ENDED_NAMES = 1024  # of ended requests; a new one may not bear any of them
+REFUSAL_STATUS = {
+    Refusal.OUT_OF_TURN: 400,
+    Refusal.ID_USED: 409,
+    Refusal.ROUTER_STOPS: 503,
+    Refusal.ROUTER_FULL: 503,
+}
 EVENTS = {"content-type": "text/event-stream", "cache-control": "no-cache"}
 
 
@@ -37,12 +46,13 @@
 
     piece = ResponseStream.pass_on
 
-    def __init__(self, transport: Transport, keep_alive: Callable[[], bool]) -> None:
-        super().__init__(transport, SLOW_CLIENT_TIMEOUT_S)
-        self.keep_alive = keep_alive
+    def __init__(self, connection: ClientConnection, keep_alive: Callable[[], bool]) -> None:
+        super().__init__(connection.transport, SLOW_CLIENT_TIMEOUT_S)
+        self.connection, self.keep_alive = connection, keep_alive
 
     def head(self) -> bytes:
         """A 200 for events."""
+        self.connection.answer_begun = True
         return http.answer_head(200, EVENTS, self.keep_alive())
 
 
@@ -61,7 +71,7 @@
         max_connections: int,
         max_requests: int,
     ) -> None:
-        self.core, self.log, self.endpoints_known = core, log, endpoints_known
+        self.core, self.audit, self.log, self.endpoints_known = core, core.audit, log, endpoints_known
         self.configure(profile, max_requests)
         self.open_requests: dict[str, EventStream] = {}  # by name
         self.ended_names: dict[str, None] = {}  # of those that ended last, the oldest first
@@ -107,6 +117,7 @@
         order = eviction_order(self.lingering_connections, self.new_connections, self.idle_connections, now)
         for connection in order:
             if self._may_be_evicted(connection):
+                self.audit.count(Action.CLOSED, "evicted")
                 self._forget_connection(connection)
                 connection.end()
                 return True
@@ -114,7 +125,8 @@
 
     def _may_be_evicted(self, connection: ClientConnection) -> bool:
         """A request that waits unread behind a burst of new connections is served first."""
-        return connection.transport in self.lingering_connections or not connection.transport.has_unread_bytes()
+        unread = connection.transport.has_unread_bytes()
+        return connection.transport in self.lingering_connections or permission.may_close_idle(unread) is None
 
     def _forget_connection(self, connection: ClientConnection) -> None:
         for connections in (self.lingering_connections, self.new_connections, self.idle_connections):
@@ -126,15 +138,31 @@
         try:
             while await self._serve_next(connection):
                 pass
+        except (OSError, asyncio.CancelledError) as end:
+            self.audit.count(Action.CLOSED, type(end).__name__)
+            raise
+        except Exception:
+            await self._answer_own_fault(connection)
         finally:
             connection.close()
 
+    async def _answer_own_fault(self, connection: ClientConnection) -> None:
+        """An exception of our own is being handled: whoever was read has an answer."""
+        name = connection.unanswered.headers.get(platform.ID, "") if connection.unanswered else ""
+        self.audit.own_fault("connection", name)
+        if connection.unanswered and not connection.answer_begun:
+            await self._refuse(connection, 500, "a fault in the router")
+
     async def _serve_next(self, connection: ClientConnection) -> bool:
         """Answers the next request; whether the connection stays open."""
         request = await self._next_request(connection)
         if request is None:
             return False
+        connection.unanswered, connection.answer_begun = request, False
         keep_alive = await self._handle(connection, request)
+        if not connection.answer_begun and connection.transport.is_quiet():  # its client is there, and has nothing
+            self.audit.violation(Violation.CLOSED_UNANSWERED, request.headers.get(platform.ID, ""))
+        connection.unanswered = None
         if not keep_alive and connection.has_sent_more():
             await self._finish(connection)
         return keep_alive
@@ -167,6 +195,7 @@
     async def _refuse(self, connection: ClientConnection, status: int, text: str) -> None:
         """An error that ends the connection."""
         self.refused_requests += 1
+        connection.answer_begun = True
         await self._finish(connection, http.answer(*answers.text_answer(status, text), keep_alive=False))
 
     async def _finish(self, connection: ClientConnection, answer: bytes = b"") -> None:
@@ -198,20 +227,24 @@
 
     def _check(self, connection: ClientConnection, http_request: http.Request) -> InferenceRequest:
         """The request, where it may be taken; raises BadMessage."""
-        if connection.parser.begun or connection.parser.ready:
-            raise BadMessage("one request at a time")
-        if asyncio.get_running_loop().time() > self.taking_until:
-            raise BadMessage("the router stops", 503)
         request = self.translator.translate(http_request)
-        if request.name in self.open_requests or request.name in self.ended_names:
-            raise BadMessage(f"{platform.ID}: this one was used already", 409)
-        if len(self.open_requests) >= self.max_requests:
-            raise BadMessage("the router holds as many requests as it may", 503)
+        refusal = permission.may_take_request(
+            RequestFacts(
+                more_bytes=bool(connection.parser.begun or connection.parser.ready),
+                taking=asyncio.get_running_loop().time() <= self.taking_until,
+                id_used=request.name in self.open_requests or request.name in self.ended_names,
+                open_requests=len(self.open_requests),
+                max_requests=self.max_requests,
+            )
+        )
+        if refusal is not None:
+            self.audit.count(Action.REFUSED, refusal, request.name)
+            raise BadMessage(refusal, REFUSAL_STATUS[refusal])
         return request
 
     async def _answer_request(self, connection: ClientConnection, request: InferenceRequest, keep_alive: bool) -> bool:
         """From taken to its final answer; whether the connection stays open."""
-        stream = EventStream(connection.transport, lambda: keep_alive and not self.closing)
+        stream = EventStream(connection, lambda: keep_alive and not self.closing)
         self.open_requests[request.name] = stream
         life = self.core.take(request, stream)
         try:
@@ -258,6 +291,7 @@
             await self._refuse(connection, 400, "one request at a time")
 
     async def _send(self, connection: ClientConnection, data: bytes) -> None:
+        connection.answer_begun = True
         await send(connection.transport, data, SLOW_CLIENT_TIMEOUT_S)
 
     def _forget_request(self, name: str) -> None:
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -6,9 +6,13 @@
 """
 
 from ramppulley import door
+from ramppulley.service.audit import Action, RuleAudit, Violation
 from ramppulley.service.neutral import CLIENT_LEFT, COMPLETED, FAILED, REJECTED, Ending, Life, Out
 from ramppulley.service.record import QuestionRecord, SendRecord
 
+OVERDUE_SLACK = 1_000  # tenths of a millisecond after a request's deadline: past what a late loop explains
+HELD_SLACK = 3_000  # the same for KV state, after the time of the settings
+
 
 class Core:
     """One pool's questions and its module. Implements `door.Host`.
@@ -16,10 +20,14 @@
     `make_router(host, now)` gives the module, or a baseline with the same events. `names` tells a box's name.
     """
 
-    def __init__(self, pool, make_router, connector, clock, use_cases, accounts, book, log, estimator, names):
+    def __init__(
+        self, pool, make_router, connector, clock, use_cases, accounts, book, log, estimator, names, audit=None
+    ):
         self.pool, self.connector, self.clock, self.book, self._log = pool, connector, clock, book, log
         self.use_cases, self.accounts, self.estimator, self.names = use_cases, accounts, estimator, names
+        self.audit = audit or RuleAudit(log, clock)
         self.lives, self.taken, self.draining = {}, 0, False
+        self.held_limit = None  # how long KV state may be held, where its engines say; tenths of a millisecond
         self.hear, self.moved = None, None  # called, where set, before a decision, and when a send came or went
         self.router = make_router(self, clock.now())
 
@@ -44,33 +52,39 @@
         )
         life = self.lives[slip] = Life(request, slip, sink, now)
         self.taken += 1
+        self.audit.record(request.name, "taken", request.request_class)
         self._tell(life, self.router.arrived, slip)
         return life
 
     def left(self, life):
         """The client closed its connection: nothing is owed any more, and what runs for it is stopped."""
         if life.ending is None:
+            self.audit.record(life.request.name, "client left")
             self._end(life, Ending(CLIENT_LEFT, False, "the client left", streamed=life.first is not None))
             self._tell(life, self.router.left, life.slip)
             for out in life.out:
                 self._stop(out)  # also a stream, which the module leaves to the client
             self._forget(life)
 
+    def refused(self, out, refusal):
+        """An attempt's first byte was refused by `service.permission`."""
+        self.audit.count(Action.REFUSED, refusal, out.life.request.name)
+
     # What the operators tell
     def configured(self, tenants, **settings):
         """For requests taken from now on; those in flight keep their class, permits and tenant share. `tenants`: the
         numbers of `accounts` by their names."""
         self.use_cases, self.accounts = settings["use_cases"], tenants
-        self.router.configured(self.clock.now(), **settings)
+        self._guarded("configured", self.router.configured, self.clock.now(), **settings)
 
     # What the list of workers tells
     def listed(self, boxes):
-        self.router.listed(self.clock.now(), boxes)
+        self._guarded("listed", self.router.listed, self.clock.now(), boxes)
 
     # What other routers tell
     def told(self, boxes):
         """`Box.heard` of these is new."""
-        self.router.told(self.clock.now(), boxes)
+        self._guarded("told", self.router.told, self.clock.now(), boxes)
 
     # What an engine connector tells
     def first(self, out):
@@ -79,6 +93,7 @@
         if out.ended or life.ending is not None:
             return False
         out.first = life.first = self.clock.now()
+        self.audit.record(life.request.name, "first token", out.number)
         if life.placed is None or life.placed > out.started:
             self._let_place_go(life)  # the hold may have come in behind the write, which then took no place
         life.state = life.held_at = life.place = None
@@ -99,10 +114,11 @@
         if end.body and life.ending is None:
             self.first(out)  # in one piece: begun and ended in one moment, or its end looks like a slow stream
         out.ended, out.end = True, (self.clock.now(), end)
+        self.audit.count(Action.ENDED, end.outcome, life.request.name)
         final = life.ending is not None
         if end.outcome == door.READ:
             if end.state is not None:
-                life.state, life.held_at = end.state, out.box
+                life.state, life.held_at, life.held_since = end.state, out.box, self.clock.now()
         elif end.outcome in (door.NO_STATE, door.SPOILT):
             if end.outcome == door.SPOILT and life.state is not None:
                 self.connector.release(
@@ -133,11 +149,12 @@
             self._tell(life, self.router.place, life.slip, box, held)
 
     def probed(self, box, outcome, report):
-        self.router.probed(self.clock.now(), box, outcome, report)
+        self._guarded("probed", self.router.probed, self.clock.now(), box, outcome, report)
 
     # What the module asks for (door.Host)
     def send(self, slip, box, time_out, send):
         life = self.lives[slip]
+        self._check_send(life)
         out = Out(life, box, send, len(life.outs), box.role == "read", time_out, self.clock.now(), life.state)
         life.outs.append(out)
         if not out.reads and life.place is not box:
@@ -158,6 +175,7 @@
         if life is None:
             return
         if life.state is not None:
+            self.audit.record(life.request.name, "release")
             self.connector.release(life, life.held_at, life.state)
             life.state = life.held_at = None
         self._let_place_go(life)
@@ -190,7 +208,11 @@
 
     # Inside
     def _remind(self, note):
-        self.router.reminded(self.clock.now(), note)
+        slip = getattr(note, "slip", None)
+        if slip in self.lives:
+            self._tell(self.lives[slip], self.router.reminded, note)
+        else:
+            self._guarded("reminded", self.router.reminded, self.clock.now(), note)
         self._sweep(note)
 
     def _sweep(self, note):
@@ -203,18 +225,55 @@
         try:
             event(self.clock.now(), *args)
         except Exception:
-            self._log.exception("module fault", pool=self.pool, question=life.request.name)
-            if life.ending is None:
-                self._end(life, Ending(FAILED, False, "a fault in the router", streamed=life.first is not None))
-            self.let_go(life.slip)
-            for out in life.out:
-                self._stop(out)
+            self.audit.own_fault(getattr(event, "__name__", "event"), life.request.name)
+            self._give_up(life)
+
+    def _guarded(self, event, call, *args, **more):
+        """A fault in an event that belongs to no request costs that event, not the task that told it."""
+        try:
+            call(*args, **more)
+        except Exception:
+            self.audit.own_fault(event)
+
+    def _give_up(self, life):
+        """The safe way out behind a fault of our own: an answer, and nothing that runs or is held."""
+        if life.ending is None:
+            self._end(life, Ending(FAILED, False, "a fault in the router", streamed=life.first is not None))
+        self.let_go(life.slip)
+        for out in life.out:
+            self._stop(out)
+
+    def _check_send(self, life):
+        """What the module is never to ask for; it is counted, and carried out by the rules of `service.permission`."""
+        if life.ending is not None:
+            self.audit.violation(Violation.ATTEMPT_AFTER_ANSWER, life.request.name)
+        if life.out:
+            self.audit.violation(Violation.TWO_ATTEMPTS, life.request.name, out=len(life.out))
+
+    def check(self):
+        """To be called now and then: answers what is overdue, whatever lost its timer, and counts what is held too long."""
+        now = self.clock.now()
+        for life in list(self.lives.values()):
+            late = now - life.taken - life.request.deadline
+            if life.ending is None and life.first is None and late > OVERDUE_SLACK:
+                self.audit.violation(Violation.ANSWER_OVERDUE, life.request.name, late_ms=late // 10)
+                self._give_up(life)
+                self._guarded("left", self.router.left, now, life.slip)
+                self._forget(life)
+            elif self._holds_too_long(life, now):
+                self.audit.violation(Violation.STATE_HELD, life.request.name, ms=(now - life.held_since) // 10)
+                self.let_go(life.slip)
 
     def _stop(self, out):
         if not out.withdrawn:
             out.withdrawn = True
             self.connector.cancel(out)
 
+    def _holds_too_long(self, life, now):
+        if life.state is None or self.held_limit is None:
+            return False
+        return now - life.held_since > self.held_limit + HELD_SLACK
+
     def _let_place_go(self, life):
         if life.place is not None:
             self.connector.release(life, life.place, None)
@@ -222,9 +281,12 @@
 
     def _end(self, life, ending):
         """Rule 1: the first ending is the one, whatever comes after."""
-        if life.ending is None:
-            life.ending, life.ended = ending, self.clock.now()
-            life.sink.final(ending)
+        if life.ending is not None:
+            self.audit.violation(Violation.SECOND_ANSWER, life.request.name, first=life.ending.how, second=ending.how)
+            return
+        life.ending, life.ended = ending, self.clock.now()
+        self.audit.record(life.request.name, "ended", ending.how)
+        life.sink.final(ending)
 
     def _forget(self, life):
         """After its final answer and its last outcome a question is written down and never heard of again."""
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -110,6 +110,7 @@
     outs: list[Out] = field(default_factory=list)
     state: Any = None  # waiting at `held_at`
     held_at: door.Box | None = None
+    held_since: int = 0
     place: door.Box | None = None
     placed: int | None = None  # when the place was told to be held
     first: int | None = None
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -30,6 +30,9 @@
         out.first, self.firsts = 1, self.firsts + 1
         return True
 
+    def refused(self, out, refusal):
+        pass
+
     def remaining(self, out):
         return out.time_out
 
