The randomized fault soak: router processes, fault proxy, shim, oracle, mutants, shrinking

./rp soak plays schedules of overlapping faults on real processes and judges them by what crossed the sockets.

--- /dev/null
+++ b/ramppulley/cli/soaking.py
@@ -0,0 +1,112 @@
+"""The command that hunts faults with real router processes: soak."""
+
+import os
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from ramppulley.cli.app import app, fail
+from ramppulley.cli.playing import seeds_of
+
+MAX_JOBS = 3
+
+
+@app.command()
+def soak(
+    file: Annotated[Path | None, typer.Argument(help="a schedule that was kept, instead of seeds")] = None,
+    seeds: Annotated[str, typer.Option(help="several with commas between, or FIRST-LAST")] = "1-3",
+    minutes: Annotated[float, typer.Option(help="no schedule begins after so long")] = 30.0,
+    jobs: Annotated[int, typer.Option(min=1, help="schedules side by side; each is eleven processes")] = min(
+        MAX_JOBS, max(1, (os.cpu_count() or 1) // 3)
+    ),
+    only: Annotated[str, typer.Option(help="kinds of faults, with commas between")] = "",
+    mutant: Annotated[str, typer.Option(help="break all routers on purpose in one way; `all` tries each")] = "",
+    keep: Annotated[
+        Path | None, typer.Option(help="folder for failing schedules, cut down to what still fails")
+    ] = None,
+    coverage: Annotated[Path | None, typer.Option(help="file for the table of what met what")] = None,
+):
+    """Play random faults on real router processes and judge them by what crossed the sockets; exit code 1 on a breach."""
+    from ramppulley.load.soak import run, schedule
+    from ramppulley.standin.platform_mutants import MUTANTS
+
+    kinds = tuple(only.split(",")) if only else ()
+    if unknown := set(kinds) - set(schedule.KINDS):
+        fail(f"no such faults: {', '.join(sorted(unknown))}; there are {', '.join(schedule.KINDS)}")
+    if mutant and mutant != "all" and mutant not in MUTANTS:
+        fail(f"no mutant {mutant!r}: {', '.join(MUTANTS)}")
+    if mutant == "all":
+        raise typer.Exit(_try_mutants(seeds_of(seeds), kinds, jobs))
+    try:
+        schedules = [schedule.read(file)] if file else list(run.draw_all(seeds_of(seeds), kinds, mutant))
+    except (OSError, ValueError) as fault:
+        fail(str(fault))
+    verdicts = []
+    for verdict in run.play_all(schedules, jobs, time.monotonic() + 60 * minutes):
+        verdicts.append(verdict)
+        _show(verdict)
+        if verdict.breaches and keep:
+            _keep(verdict, keep)
+    _show_coverage(verdicts, coverage)
+    if any(verdict.breaches for verdict in verdicts):
+        raise typer.Exit(1)
+
+
+def _show(verdict) -> None:
+    kinds = Counter(breach.invariant for breach in verdict.breaches)
+    typer.echo(
+        f"seed {verdict.schedule.seed}: {verdict.requests} requests, {verdict.completed} completed, {verdict.rejected} rejected, "
+        f"{len(verdict.schedule.faults)} faults, shim {'on' if verdict.shim else 'NOT RUN'}, rig late {verdict.worst_lag_s:.2f} s, "
+        + (", ".join(f"{name} {count}" for name, count in kinds.items()) or "no breach")
+    )
+    for text in verdict.timelines:
+        typer.echo(text)
+
+
+def _keep(verdict, folder: Path) -> None:
+    from ramppulley.load.soak import run, schedule
+
+    folder.mkdir(parents=True, exist_ok=True)
+    for invariant in sorted(verdict.invariants):
+        smaller = run.shrink(verdict.schedule, invariant, typer.echo)
+        path = folder / f"{invariant}-{verdict.schedule.seed}.json"
+        schedule.write(path, smaller)
+        typer.echo(f"kept: ./rp soak {path}")
+
+
+def _show_coverage(verdicts, path: Path | None) -> None:
+    from ramppulley.load.soak import run, schedule
+
+    missing = run.never_played(verdict.schedule for verdict in verdicts)
+    pairs = len(schedule.KINDS) * (len(schedule.KINDS) - 1) // 2
+    typer.echo(f"{len(verdicts)} schedules; {pairs - len(missing)} of {pairs} pairs of faults overlapped")
+    if path is None:
+        return
+    met: Counter[tuple[str, str, str]] = Counter()
+    for verdict in verdicts:
+        met.update(verdict.phases)
+    lines = ["fault,phase of a request,phase of its process,times"]
+    lines += [f"{','.join(key)},{count}" for key, count in sorted(met.items())]
+    lines += [f"never overlapped,{one},{other},0" for one, other in missing]
+    path.write_text("\n".join(lines) + "\n")
+
+
+def _try_mutants(numbers: list[int], kinds: tuple[str, ...], jobs: int) -> int:
+    """Each planted fault until an invariant sees it; the exit code says whether all were seen."""
+    from ramppulley.load.soak import run
+    from ramppulley.standin.platform_mutants import MUTANTS
+
+    unseen = []
+    for name in MUTANTS:
+        schedules = run.draw_all(numbers, kinds, name)
+        for count, verdict in enumerate(run.play_all(schedules, jobs, time.monotonic() + 600), 1):
+            if verdict.breaches:
+                typer.echo(f"{name}: seen by {', '.join(sorted(verdict.invariants))}, schedule {count}")
+                break
+        else:
+            unseen.append(name)
+            typer.echo(f"{name}: NOT SEEN in {len(numbers)} schedules")
+    return int(bool(unseen))
--- /dev/null
+++ b/ramppulley/load/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The randomized fault soak: router processes as operators start them, faults around them, an oracle that reads sockets."""
--- /dev/null
+++ b/ramppulley/load/soak/schedule.py
@@ -0,0 +1,141 @@
+"""Schedules of faults: typed events drawn from one seed, two or three of which overlap. Pure."""
+
+import random
+from pathlib import Path
+
+import msgspec
+
+ROUTERS, READERS, WRITERS = 10, 6, 6
+QUIET_S = 1.0  # before the first fault; longer in some schedules
+LENGTH_S = 9.0  # of the clients' traffic
+
+#: What a fault is done to, by its kind.
+LINK_FAULTS = (
+    "link_delay",
+    "link_stall",
+    "link_one_way",
+    "link_reset_request",
+    "link_reset_answer",
+    "link_pieces",
+    "link_late_connect",
+    "link_refuse",
+)
+DISCOVERY_FAULTS = (
+    "discovery_silent",
+    "discovery_refuse",
+    "discovery_slow",
+    "discovery_whole_lists",
+    "discovery_versions_back",
+    "discovery_torn",
+)
+WORKER_FAULTS = (
+    "worker_hang",
+    "worker_crash",
+    "worker_drain",
+    "worker_vanish",
+    "worker_join",
+    "worker_decline",
+    "worker_answer_twice",
+    "worker_half",
+    "worker_garbage",
+    "worker_slow",
+)
+CLIENT_FAULTS = (
+    "client_leave",
+    "client_leave_in_stream",
+    "client_stall_in_request",
+    "client_slow_write",
+    "client_pipeline",
+    "client_flood",
+    "client_repeat_id",
+    "client_never_read",
+)
+PROCESS_FAULTS = ("signal_term", "signal_hup", "signal_kill", "signal_stop", "signal_term_hup", "signal_hup_term")
+SYSTEM_FAULTS = ("clock_forward", "clock_back", "system_accept", "system_connect", "system_setsockopt", "system_socket")
+KINDS = LINK_FAULTS + DISCOVERY_FAULTS + WORKER_FAULTS + CLIENT_FAULTS + PROCESS_FAULTS + SYSTEM_FAULTS
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault: `routers` and `workers` are the numbers of those that it is done to; empty is all."""
+
+    kind: str
+    at_s: float
+    length_s: float
+    routers: list[int] = []
+    workers: list[int] = []
+
+    def overlaps(self, other: "Fault") -> bool:
+        """Whether both are on at some moment."""
+        return self.at_s < other.at_s + other.length_s and other.at_s < self.at_s + self.length_s
+
+    def hits(self, router: int) -> bool:
+        """Whether it is done to this router."""
+        return not self.routers or router in self.routers
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """What one run of the soak plays. `mutant`: how all routers are broken on purpose; empty is not."""
+
+    seed: int
+    faults: list[Fault]
+    length_s: float = LENGTH_S
+    routers: int = ROUTERS
+    requests_per_s: float = 6.0  # at each router
+    mutant: str = ""
+
+
+def draw(seed: int, only: tuple[str, ...] = (), played: dict[tuple[str, str], int] | None = None) -> Schedule:
+    """The schedule of a seed. `played`: how often pairs of kinds overlapped so far; rare ones are drawn first."""
+    rng = random.Random(seed)
+    kinds = only or KINDS
+    faults: list[Fault] = []
+    quiet_s = QUIET_S if rng.random() < 0.8 else 3.0
+    at_s = quiet_s
+    while at_s < LENGTH_S - 2.0:
+        group = _rare_group(rng, kinds, played) if played else rng.sample(kinds, min(len(kinds), rng.choice((2, 2, 3))))
+        for kind in group:
+            faults.append(_draw_fault(rng, kind, at_s + rng.uniform(0.0, 0.4)))
+        at_s += rng.uniform(1.2, 2.4)
+    return Schedule(seed, faults)
+
+
+def _rare_group(rng: random.Random, kinds: tuple[str, ...], played: dict[tuple[str, str], int]) -> list[str]:
+    """Of some pairs drawn at random the one that was played least, and at times a third kind."""
+    pairs = [tuple(sorted(rng.sample(kinds, 2))) for _ in range(12)] if len(kinds) > 1 else [(kinds[0], kinds[0])]
+    first, second = min(pairs, key=lambda pair: played.get((pair[0], pair[1]), 0))
+    return [first, second] + ([rng.choice(kinds)] if rng.random() < 0.4 else [])
+
+
+def _draw_fault(rng: random.Random, kind: str, at_s: float) -> Fault:
+    length_s = rng.choice((0.3, 0.8, 1.5, 2.5))
+    routers = rng.sample(range(ROUTERS), rng.choice((2, 4, ROUTERS)))
+    workers = rng.sample(range(READERS + WRITERS), rng.choice((1, 3, 6)))
+    if kind in PROCESS_FAULTS:
+        routers, workers, length_s = routers[: rng.choice((1, 2, 3))], [], 4.5
+    elif kind in SYSTEM_FAULTS + CLIENT_FAULTS + DISCOVERY_FAULTS:
+        workers = []
+    elif kind in WORKER_FAULTS:
+        routers = []
+    if kind == "discovery_silent":
+        length_s = rng.choice((1.5, 3.0, 4.0))
+    return Fault(kind, round(at_s, 3), length_s, sorted(routers), sorted(workers))
+
+
+def pairs_of(schedule: Schedule) -> set[tuple[str, str]]:
+    """The pairs of kinds that overlap in it."""
+    return {
+        (min(one.kind, other.kind), max(one.kind, other.kind))
+        for i, one in enumerate(schedule.faults)
+        for other in schedule.faults[i + 1 :]
+        if one.kind != other.kind and one.overlaps(other)
+    }
+
+
+def read(path: Path) -> Schedule:
+    """A schedule from its file; raises OSError or ValueError."""
+    return msgspec.json.decode(path.read_bytes(), type=Schedule)
+
+
+def write(path: Path, schedule: Schedule) -> None:
+    """Keeps a schedule, to be played again by `./rp soak FILE`."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(schedule), indent=2) + b"\n")
--- /dev/null
+++ b/ramppulley/standin/platform_mutants.py
@@ -0,0 +1,251 @@
+"""The platform's router with one planted fault: `python -m ramppulley.standin.platform_mutants NAME`.
+
+Each shows that an invariant of the soak can see what it is for. The program itself knows nothing of them.
+"""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+ENTRY = "ramppulley.standin.platform_mutants"
+
+
+def wall_clock() -> None:
+    """Ages of workers by the wall clock alone."""
+    from ramppulley.service.clock import StartAges
+
+    StartAges.age_ms = lambda self, started, now, wall_ms: max(0, wall_ms - started)  # type: ignore[method-assign]
+
+
+def accept_dies() -> None:
+    """One failed accept ends the accepting for good."""
+    from ramppulley.wire import sockets
+
+    async def accept(self: Any, readable: Any) -> None:
+        while await self._accept_next(readable):
+            pass
+
+    sockets.Listener._accept = accept  # type: ignore[method-assign]
+    sockets.Listener._on_accepting_done = lambda self, task: None  # type: ignore[method-assign]
+
+
+def ignores_leaving() -> None:
+    """A client's close is seen by nobody before its answer."""
+    from ramppulley.fronts.client_connection import ClientConnection
+    from ramppulley.fronts.response_stream import ResponseStream
+
+    async def wait_for(self: Any, done: Any, timeout_s: Any = None) -> bool:
+        await asyncio.wait({done})
+        return True
+
+    ClientConnection.wait_for = wait_for  # type: ignore[method-assign]
+    ResponseStream.gone = lambda self: False  # type: ignore[method-assign]
+
+
+def ignores_drain() -> None:
+    """A worker that is told to end stays in use."""
+    from ramppulley.wire import platform
+
+    platform.STATES[platform.DRAINING] = "ready"
+
+
+def endless_watch() -> None:
+    """A watch that fell silent is never given up."""
+    from ramppulley.fleet.platform import watch
+
+    watch.TIMEOUTS = watch.TIMEOUTS._replace(silence_s=1e6, first_line_s=1e6)
+
+
+def no_release() -> None:
+    """What is held is never released."""
+    from ramppulley.engines.platform.connector import PlatformConnector
+
+    PlatformConnector._owe_release = lambda self, life, delay_s: None  # type: ignore[method-assign]
+
+
+def release_waits() -> None:
+    """A release waits for a decode that may never have arrived."""
+    from ramppulley.rules import Question
+
+    Question.on_unanswered = lambda self, send: None  # type: ignore[attr-defined]
+
+
+def whole_deadline_told() -> None:
+    """Each worker is told the client's whole deadline."""
+    from ramppulley.engines.platform.connector import PlatformConnector
+
+    build = PlatformConnector._build_request
+
+    def told_all(self: Any, attempt: Any, connections: Any) -> bytes:
+        attempt.remaining = attempt.life.request.deadline + 3_000
+        return build(self, attempt, connections)
+
+    PlatformConnector._build_request = told_all  # type: ignore[method-assign]
+
+
+def lost_means_never_ran() -> None:
+    """A connection that breaks behind a request proves that it never ran."""
+    from ramppulley import door
+    from ramppulley.engines import proof
+
+    for stage in (proof.Stage.WAIT, proof.Stage.ANSWER):
+        proof.TABLE[stage, proof.Failure.LOST] = door.NO_ROUTE
+
+
+def holds_events() -> None:
+    """Events are passed on late."""
+    from ramppulley.fronts.response_stream import ResponseStream
+
+    pass_on = ResponseStream.pass_on
+
+    async def late(self: Any, data: bytes) -> None:
+        if self.begun:
+            await asyncio.sleep(0.5)
+        await pass_on(self, data)
+
+    from ramppulley.fronts.platform.server import EventStream
+
+    EventStream.piece = late  # type: ignore[method-assign]
+
+
+def patient_with_stalled() -> None:
+    """A client that stops inside a request is waited for."""
+    from ramppulley.fronts import client_connection
+    from ramppulley.fronts.platform import server
+
+    client_connection.STALLED_TIMEOUT_S = 30.0
+    server.FIRST_REQUEST_TIMEOUT_S = server.SLOW_CLIENT_TIMEOUT_S = 30.0
+
+
+def stops_at_once() -> None:
+    """A shutdown cuts what it has taken."""
+    from ramppulley.daemon.platform import node
+
+    stop = node.Node.stop
+
+    async def at_once(self: Any, accept_s: float = 0.0, timeout_s: float = 0.0) -> None:
+        await stop(self, 0.0, 0.0)
+
+    node.Node.stop = at_once  # type: ignore[method-assign]
+
+
+def takes_after_shutdown() -> None:
+    """A shutdown goes on taking requests on connections that are open."""
+    from ramppulley.daemon.platform import node
+
+    node.ACCEPT_AFTER_SIGTERM_S = 3.0
+    stop = node.Node.stop
+
+    async def late(self: Any, accept_s: float = 3.0, timeout_s: float = 600.0) -> None:
+        await stop(self, 3.0, timeout_s)
+
+    node.Node.stop = late  # type: ignore[method-assign]
+
+
+def closes_rejected() -> None:
+    """A request that is turned back has its connection closed with no answer."""
+    from ramppulley.fronts.platform.server import PlatformFront
+    from ramppulley.service.neutral import COMPLETED
+
+    send_ending = PlatformFront._send_ending
+
+    async def silent(self: Any, connection: Any, stream: Any, ending: Any, keep_alive: bool) -> bool:
+        if ending.how != COMPLETED:
+            return False
+        return await send_ending(self, connection, stream, ending, keep_alive)
+
+    PlatformFront._send_ending = silent  # type: ignore[method-assign]
+
+
+def late_timers() -> None:
+    """Timers take three times as long."""
+    from ramppulley.service.clock import LoopClock
+
+    after = LoopClock.after
+    LoopClock.after = lambda self, wait, call, *args: after(self, 3 * wait, call, *args)  # type: ignore[method-assign]
+
+
+def dies_by_reload() -> None:
+    """SIGHUP ends the process."""
+    from ramppulley.daemon.platform import node
+
+    def reload(self: Any, path: str) -> None:
+        signal.raise_signal(signal.SIGKILL)
+
+    node.Node.reload = reload  # type: ignore[method-assign]
+
+
+def serves_used_ids() -> None:
+    """An id that was used is served again."""
+    from ramppulley.fronts.platform.server import PlatformFront
+
+    PlatformFront._forget_request = lambda self, name: self.open_requests.pop(name)  # type: ignore[method-assign]
+
+
+def two_attempts() -> None:
+    """The prefill is asked twice at once."""
+    from ramppulley.engines.platform.connector import PlatformConnector
+
+    start = PlatformConnector.start
+
+    def twice(self: Any, core: Any, attempt: Any) -> None:
+        start(self, core, attempt)
+        if attempt.reads:
+            others = [
+                box for box in self.workers if box.role == "read" and box.state == "ready" and box is not attempt.box
+            ]
+            for box in others[:1]:
+                self._spawn(self._shadow(attempt, box))
+
+    async def shadow(self: Any, attempt: Any, box: Any) -> None:
+        from ramppulley.wire import http
+
+        transport = await self.workers[box].connections.acquire(0.5)
+        await transport.send(self._build_request(attempt, None))
+        parser = http.AnswerParser(1 << 16)
+        while not parser.done:
+            parser.feed(await transport.receive())
+        self.workers[box].connections.discard(transport)
+
+    PlatformConnector._shadow = shadow  # type: ignore[attr-defined]
+    PlatformConnector.start = twice  # type: ignore[method-assign]
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    mutant.__name__: mutant
+    for mutant in (
+        wall_clock,
+        accept_dies,
+        ignores_leaving,
+        ignores_drain,
+        endless_watch,
+        no_release,
+        release_waits,
+        whole_deadline_told,
+        lost_means_never_ran,
+        holds_events,
+        patient_with_stalled,
+        stops_at_once,
+        takes_after_shutdown,
+        closes_rejected,
+        late_timers,
+        dies_by_reload,
+        serves_used_ids,
+        two_attempts,
+    )
+}
+
+
+def main(name: str) -> int:
+    """One router with this fault; the exit status of the program."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from ramppulley.daemon.platform.command import main as run_platform
+
+    MUTANTS[name]()
+    return run_platform()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- /dev/null
+++ b/ramppulley/standin/shim.c
@@ -0,0 +1,82 @@
+/* A library for LD_PRELOAD: steps the wall clock of one process and has its system calls fail, as a shared file tells.
+ *
+ * The file holds 64-bit numbers: the step of the wall clock in nanoseconds, then an errno and a count for each call below;
+ * while the count is above 0, the call fails with that errno and the count goes down. The monotonic clock is never touched.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+enum { STEP, ACCEPT, CONNECT = 3, SETSOCKOPT = 5, SOCKET = 7, FIELDS = 16 };
+
+static volatile int64_t *shared;
+
+__attribute__((constructor)) static void open_shared(void)
+{
+    const char *path = getenv("RP_SHIM_FILE");
+    int fd = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
+    if (fd < 0)
+        return;
+    void *map = mmap(NULL, FIELDS * sizeof(int64_t), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    if (map != MAP_FAILED)
+        shared = map;
+}
+
+static int planted(int field)
+{
+    if (!shared || shared[field + 1] <= 0)
+        return 0;
+    shared[field + 1]--;
+    errno = (int)shared[field];
+    return 1;
+}
+
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+    static int (*real)(clockid_t, struct timespec *);
+    if (!real)
+        real = REAL(clock_gettime);
+    int status = real(id, ts);
+    if (!status && shared && id == CLOCK_REALTIME) {
+        int64_t total = (int64_t)ts->tv_sec * 1000000000 + ts->tv_nsec + shared[STEP];
+        ts->tv_sec = total / 1000000000;
+        ts->tv_nsec = total % 1000000000;
+    }
+    return status;
+}
+
+int accept(int fd, struct sockaddr *address, socklen_t *length)
+{
+    return planted(ACCEPT) ? -1 : REAL(accept)(fd, address, length);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags)
+{
+    return planted(ACCEPT) ? -1 : REAL(accept4)(fd, address, length, flags);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length)
+{
+    return planted(CONNECT) ? -1 : REAL(connect)(fd, address, length);
+}
+
+int setsockopt(int fd, int level, int name, const void *value, socklen_t length)
+{
+    return planted(SETSOCKOPT) ? -1 : REAL(setsockopt)(fd, level, name, value, length);
+}
+
+int socket(int domain, int type, int protocol)
+{
+    return planted(SOCKET) ? -1 : REAL(socket)(domain, type, protocol);
+}
