--- a/ramppulley/load/soak/links.py
+++ b/ramppulley/load/soak/links.py
@@ -6,7 +6,7 @@
 
 from ramppulley.wire.sockets import Transport
 
-PIECE_BYTES = 7
+PIECE_BYTES, SILENT_LOOK_S = 7, 0.01
 
 
 @dataclass(eq=False)
@@ -29,7 +29,7 @@
 
     def __init__(self, link: LinkState, transport: Transport) -> None:
         self.link, self.transport, self.silent = link, transport, bool(link.refuse)
-        self.received_at = 0.0
+        self.received_at, self.early_at = 0.0, 0.0
         self.faulted = False  # a fault has touched it
         link.connections.add(self)
 
@@ -37,10 +37,18 @@
         """The end of its task."""
         self.link.connections.discard(self)
 
+    async def wait_unserved(self, seconds: float) -> None:
+        """Nobody serves it for so long; notes when its first byte came."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            if not self.early_at and not self.transport.is_quiet():
+                self.early_at = time.monotonic()
+            await asyncio.sleep(SILENT_LOOK_S)
+
     async def receive(self) -> bytes:
         """The router's next bytes, once the link lets them through; b"" at the end."""
         data = await self.transport.receive()
-        self.received_at = time.monotonic()
+        self.received_at, self.early_at = self.early_at or time.monotonic(), 0.0
         await self._pass()
         if data and self.link.reset_request:
             self.faulted = True
@@ -53,7 +61,9 @@
         await self._pass()
         while self.link.one_way:
             self.faulted = True
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(SILENT_LOOK_S)
+            if not self.transport.is_quiet():
+                raise ConnectionResetError("closed behind a link of one way")
         if self.link.reset_answer:
             self.faulted = True
             await self.transport.send(data[: len(data) // 2])
@@ -75,4 +85,6 @@
             self.silent = True  # it does not come back: its peers are not told
         if self.silent:
             self.faulted = True
-            await asyncio.Event().wait()
+            while self.transport.is_quiet():
+                await asyncio.sleep(SILENT_LOOK_S)
+            raise ConnectionResetError("closed behind a silent link")
--- a/ramppulley/load/soak/workers.py
+++ b/ramppulley/load/soak/workers.py
@@ -12,7 +12,7 @@
 
 PREFILL_S, DECODE_S, EVENT_GAP_S, EVENTS = 0.02, 0.03, 0.03, 4
 SLOW_FACTOR = 10
-IDLE_S = 4.0
+LOOK_S = 0.004  # it sees so soon that its router closed
 EVENT_STREAM = http.answer_head(200, {"content-type": "text/event-stream"})
 DECLINED = {"srv-declined": "1"}
 NOISE = b"\x00\x01\x02 this is no answer \r\n\r\n"
@@ -34,7 +34,7 @@
 
     def hold(self, attempt: WorkerAttempt) -> None:
         """A prefill has ended well."""
-        hold = Hold(attempt.name, attempt.router, time.monotonic())
+        hold = Hold(attempt.name, attempt.router, time.monotonic(), waiting=1)  # its own answer is not out yet
         self.evidence.holds.append(hold)
         self.holds[attempt.name] = hold, attempt.worker
 
@@ -110,7 +110,7 @@
         async def serve(transport: Transport) -> None:
             connection = LinkConnection(link, transport)
             if link.late_connect:
-                await asyncio.sleep(0.6)
+                await connection.wait_unserved(0.6)
             try:
                 await self._serve(router, connection)
             finally:
@@ -198,7 +198,9 @@
         """Works so long, unless the router closes: whether it is still there."""
         if self.has("worker_slow"):
             seconds *= SLOW_FACTOR
-        await asyncio.sleep(seconds)
+        until = time.monotonic() + seconds
+        while (left_s := until - time.monotonic()) > 0 and connection.transport.is_quiet():
+            await asyncio.sleep(min(LOOK_S, left_s))
         await self.awake.wait()
         return not self.dead and connection.transport.is_quiet()
 
@@ -211,7 +213,10 @@
             attempt.outcome = "left"
             raise ConnectionResetError
         self.states.hold(attempt)
-        await connection.send(http.answer(202, {}, b'{"cached_tokens":64}'))
+        try:
+            await connection.send(http.answer(202, {}, b'{"cached_tokens":64}'))
+        finally:
+            self.states.answered(attempt.name, taken=False)
 
     async def _decode(self, connection: LinkConnection, attempt: WorkerAttempt) -> None:
         if self.has("worker_decline"):
--- a/tests/test_race_handover.py
+++ b/tests/test_race_handover.py
@@ -189,6 +189,25 @@
         assert seen == [0]
 
 
+@story
+async def test_a_release_does_not_overtake_the_close_of_the_decode_that_waits_for_the_state():
+    """A release frees what no attempt waits for: one that came before the decode's end would free nothing, for good."""
+    async with World(settings=PLAIN) as world:
+        client, seen = await world.connect(), []
+
+        async def fetch(transport):
+            client.close()
+            await until_over(transport)
+            await asyncio.sleep(0.01)  # it is not the first to be told
+            seen.append(len(releases(world.workers)))
+
+        world.writers[0].scripts.append(fetch)
+        await client.send(question("q-1"))
+        await world.until(lambda: releases(world.workers))
+        await world.settled()
+        assert seen == [0]
+
+
 @story
 async def test_a_release_that_is_under_way_is_heard_before_the_next_attempt_is_written():
     async with World(readers=2, settings=PLAIN) as world:
--- a/tests/test_system_call_failures.py
+++ b/tests/test_system_call_failures.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import errno
+import json
+import os
+import signal
 import socket
 
 import pytest
+import uvloop
 from platform_rig import WHOLE, World
 from rig import story
 
+from ramppulley.daemon.platform import command
 from ramppulley.engines import connections
+from ramppulley.fronts.platform import server
 from ramppulley.wire import sockets
 
 
@@ -54,3 +60,24 @@
             patch.setattr(connections, "connect", failing_async(connections.connect, errno.ENETUNREACH, 3))
             assert (await world.ask("q-1"))[2:] == (WHOLE, True)
         assert not [worker for worker in world.node.core.router.workers.values() if worker.doubted]
+
+
+def test_a_start_whose_socket_fails_for_a_moment_is_tried_again(tmp_path):
+    """Term 9: a refused start is a failure, whatever the system was short of just then."""
+    started = []
+
+    async def told():
+        async with World() as world:
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(world.config()))
+            make = sockets.Listener
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(server, "Listener", failing(make, errno.ENFILE, 2))
+                running = asyncio.create_task(command.run(str(path), json.loads(path.read_text()), world.node.log))
+                await world.until(lambda: running.done() or world.lines.text.count(" listening ") > 1)
+                started.append(world.lines.text.count(" listening "))
+            os.kill(os.getpid(), signal.SIGTERM)
+            await running
+
+    uvloop.run(told())
+    assert started == [2]
