--- a/ramppulley/daemon/platform/command.py
+++ b/ramppulley/daemon/platform/command.py
@@ -1,6 +1,7 @@
 """The command `python -m ramppulley platform`: environment, signals, exit status."""
 
 import asyncio
+import errno
 import gc
 import os
 import signal
@@ -14,6 +15,8 @@
 from ramppulley.daemon.platform.node import Node
 
 GC_THRESHOLDS = 5_000, 10, 20  # what is left after the start is small: collected often, it does not grow
+START_TIMEOUT_S, START_INTERVAL_S = 5.0, 0.1  # a start that the system refuses for a moment is tried again for so long
+LASTING_ERRNOS = errno.EADDRNOTAVAIL, errno.EACCES, errno.EPERM, errno.EINVAL, errno.EAFNOSUPPORT
 EXIT_OK, EXIT_UNUSABLE_CONFIGURATION = 0, 2
 
 
@@ -57,7 +60,7 @@
     node = Node(content, log)
     loop.add_signal_handler(signal.SIGHUP, node.reload, path)
     try:
-        await node.start()
+        await _start(node, log, stopping)
     except OSError as fault:
         raise ConfigurationError(f"cannot listen on {content['listen']}: {fault.strerror}") from fault
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
@@ -66,6 +69,21 @@
     await node.stop()
 
 
+async def _start(node: Node, log: Log, stopping: asyncio.Event) -> None:
+    """Starts the node, again and again where the system is short of something; raises OSError."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + START_TIMEOUT_S
+    while True:
+        try:
+            await node.start()
+            return
+        except OSError as fault:
+            if fault.errno in LASTING_ERRNOS or loop.time() > deadline or stopping.is_set():
+                raise
+            log.warning("start is tried again", fault=fault.strerror)
+            await asyncio.sleep(START_INTERVAL_S)
+
+
 def _collect_only_what_follows() -> None:
     """What the start made stays, the little garbage too: no collection walks it."""
     gc.freeze()
--- a/ramppulley/daemon/platform/node.py
+++ b/ramppulley/daemon/platform/node.py
@@ -52,7 +52,7 @@
     async def start(self) -> Self:
         """Awaits nothing, so that no signal meets half a node.
 
-        Raises OSError where its address cannot be listened on.
+        Raises OSError where its address cannot be listened on; nothing runs then, and it may be called again.
         """
         loop = asyncio.get_running_loop()
         self.clock = LoopClock(loop)
@@ -65,8 +65,9 @@
         known = self.configuration.known_endpoints
         if known is not None and known.entries:
             self._on_update(known)
+        self.front = self._make_front()
         self.watch = self._make_watch().start()
-        self.front = self._make_front().start()
+        self.front.start()
         self._housekeeping = loop.create_task(
             run_housekeeping(self.core.check, self.engines.expire_idle, self.log, self.sizes)
         )
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -86,8 +86,11 @@
         asyncio.get_running_loop().call_soon(core.placed, life, box, False)
 
     def release(self, life: Life, box: door.Box | None, state: Any) -> None:
-        """Releases all that is held for a request, wherever it is."""
-        self._owe_release(life, 0.0)
+        """Releases all that is held for a request, wherever it is. A decode that was given up has to see that first: what
+        an attempt waits for is not released."""
+        last = life.outs[-1].end if life.outs else None
+        given_up = last is not None and last[1].outcome not in door.ANSWERED
+        self._owe_release(life, RELEASE_DELAY_S if given_up else 0.0)
 
     def probe(self, core: Any, box: door.Box) -> None:
         """Asks a worker for its load; reported to `core.probed`."""
