--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -87,3 +87,25 @@
     host, cold = cold_host()
     host.wait(cold.cold_next - host.now)
     assert host.told("send", host.ask(prompt=5000, session="x"))
+
+
+def test_routers_begin_with_a_worker_that_joins_each_at_its_own_time():
+    """All hear of it at once, as of one that starts anew under its old id."""
+    waits = []
+    for seed in range(20):
+        host = FakeHost([box(1, "read"), box(9, "write")], routers=20, seed=seed)
+        for n in range(20):
+            host.wait(100 * MS)
+            answered(host, host.ask(session=f"{n}"))
+        joined = box(5, "read", born=host.now)
+        host.router.listed(host.now, [joined])
+        worker = host.router.workers[joined]
+        waits.append((worker.cold_next - host.now) / worker.cold_gap())
+    assert all(0 <= wait <= 1 for wait in waits) and 0.3 < sum(waits) / len(waits) < 0.7
+
+
+def test_a_worker_that_is_listed_warm_is_used_at_once():
+    host = FakeHost([box(9, "write")])
+    joined = box(5, "read")
+    host.router.listed(host.now, [joined])
+    assert host.told("send", host.ask())
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -302,6 +302,26 @@
                 assert not list(heard.feed(nonsense))
 
 
+def test_the_largest_fleet_is_read_also_where_its_list_comes_indented():
+    """Term 17: 3,200 workers; 4 spaces a level and long names."""
+    entry = {
+        "host": "decode-long-context-0123456789abcdef",
+        "dial": "127.100.200.101:65535",
+        "site": "north-west-availability-zone-1",
+        "class": "decode-long-context",
+        "block": 3000,
+        "health": "Terminating",
+        "share": 1.0123456789,
+        "born_ms": 1_790_000_000_000,
+    }
+    update = {"seq": 123_456_789, "whole": True, "hosts": [entry] * 3200}
+    text = json.dumps(update, indent=4).encode() + b"\n"
+    splitter, told = JsonTextSplitter(), []
+    for begin in range(0, len(text), 1 << 16):
+        told += splitter.feed(text[begin : begin + (1 << 16)])
+    assert [json.loads(one) for one in told] == [update]
+
+
 def test_an_entry_of_a_whole_list_that_cannot_be_read_ends_no_worker():
     async def told():
         async with Scene() as scene:
