--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -298,7 +298,7 @@
     for nonsense in (b"[\n" * 99_999, b'"' + b'\\"' * 99_999, b"x" * 99_999):
         heard = JsonTextSplitter()
         with pytest.raises(BadMessage):
-            for _ in range(1 + MAX_TEXT_BYTES // len(nonsense)):
+            for _ in range(2 + 2 * MAX_TEXT_BYTES // len(nonsense)):
                 assert not list(heard.feed(nonsense))
 
 
