--- a/ramppulley/cli/soaking.py
+++ b/ramppulley/cli/soaking.py
@@ -57,10 +57,11 @@
 
 def _show(verdict) -> None:
     kinds = Counter(breach.invariant for breach in verdict.breaches)
+    breaches = ", ".join(f"{name} {count}" for name, count in kinds.items()) or "no breach"
     typer.echo(
-        f"seed {verdict.schedule.seed}: {verdict.requests} requests, {verdict.completed} completed, {verdict.rejected} rejected, "
-        f"{len(verdict.schedule.faults)} faults, shim {'on' if verdict.shim else 'NOT RUN'}, rig late {verdict.worst_lag_s:.2f} s, "
-        + (", ".join(f"{name} {count}" for name, count in kinds.items()) or "no breach")
+        f"seed {verdict.schedule.seed}: {verdict.requests} requests, {verdict.completed} completed, "
+        f"{verdict.rejected} rejected, {len(verdict.schedule.faults)} faults, shim {'on' if verdict.shim else 'NOT RUN'}, "
+        f"rig late {verdict.worst_lag_s:.2f} s, {breaches}"
     )
     for text in verdict.timelines:
         typer.echo(text)
@@ -101,10 +102,11 @@
 
     unseen = []
     for name in MUTANTS:
-        schedules = run.draw_all(numbers, kinds, name)
+        schedules = run.draw_all(numbers, kinds or MUTANTS[name].shows_under, name)
         for count, verdict in enumerate(run.play_all(schedules, jobs, time.monotonic() + 600), 1):
             if verdict.breaches:
                 typer.echo(f"{name}: seen by {', '.join(sorted(verdict.invariants))}, schedule {count}")
+                typer.echo("\n".join(verdict.timelines[:2]))
                 break
         else:
             unseen.append(name)
--- a/ramppulley/load/soak/evidence.py
+++ b/ramppulley/load/soak/evidence.py
@@ -1,4 +1,4 @@
-"""What crossed the sockets of one run: a record for each request, attempt, hold and process life. Times: monotonic seconds."""
+"""What crossed the sockets of one run: a record for each request, attempt, hold and process. Times: monotonic seconds."""
 
 from dataclasses import dataclass, field
 
@@ -93,6 +93,7 @@
     born: dict[str, float] = field(default_factory=dict)  # workers that started cold during the run
     lags: list[tuple[float, float]] = field(default_factory=list)  # of the rig's own process: when, seconds late
     log_faults: list[str] = field(default_factory=list)  # lines by which a router reports a fault of its own
+    log_ends: dict[int, str] = field(default_factory=dict)  # by router: its last lines
     bad_bodies: list[str] = field(default_factory=list)
 
     def lag_near(self, at: float, within_s: float = 1.0) -> float:
--- a/ramppulley/load/soak/processes.py
+++ b/ramppulley/load/soak/processes.py
@@ -14,7 +14,7 @@
 from ramppulley.standin.platform_mutants import ENTRY
 
 ROOT = Path(__file__).parents[3]
-READY_POLL_S = 0.05
+READY_POLL_S, LAST_LINES = 0.05, 6
 FAULT_WORDS = (
     "rule broken",
     "module fault",
@@ -106,6 +106,12 @@
             await self.process.wait()
         self.life.ended_at, self.life.status = time.monotonic(), self.process.returncode
 
+    def log_end(self) -> str:
+        """Its last lines."""
+        if not self.log_path.exists():
+            return ""
+        return "\n".join(self.log_path.read_text(errors="replace").splitlines()[-LAST_LINES:])
+
     def log_faults(self) -> list[str]:
         """Lines by which it reports a fault of its own."""
         if not self.log_path.exists():
--- a/ramppulley/load/soak/run.py
+++ b/ramppulley/load/soak/run.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from ramppulley.load.soak import shim
-from ramppulley.load.soak.evidence import ClientRequest, Evidence
+from ramppulley.load.soak.evidence import ClientRequest, Evidence, ProcessLife, WorkerAttempt
 from ramppulley.load.soak.oracle import Breach, judge
 from ramppulley.load.soak.schedule import KINDS, Fault, Schedule, draw, pairs_of
 from ramppulley.load.soak.settings import RULES
@@ -66,36 +66,53 @@
 
 
 def timeline(evidence: Evidence, breach: Breach) -> str:
-    """What is known of the request of a breach, over client, worker and process."""
+    """What is known of the request of a breach, over client, workers, KV state and process."""
     name = breach.what.split()[0].rstrip(":")
-    lines = [f"{breach.invariant}: {breach.what}"]
     requests = [request for request in evidence.requests if request.name == name]
-    begin = min((request.sent_at for request in requests), default=0.0)
-
-    def after(at: float | None) -> str:
-        return "-" if at is None else f"{at - begin:+.3f}"
-
-    for request in requests:
-        lines.append(
-            f"  client {request.request_class} deadline {request.deadline_s} {request.behaviour or 'usual'} sent {after(request.sent_at)} "
-            f"first {after(request.first_at)} end {after(request.ended_at)} left {after(request.closed_at)} status {request.status} "
-            f"{'whole' if request.whole else request.error or 'cut'} {'new' if request.new_connection else 'kept'} connection"
-        )
-    for attempt in (attempt for attempt in evidence.attempts if attempt.name == name):
-        lines.append(
-            f"  {attempt.worker} first byte {after(attempt.first_byte_at)} arrived {after(attempt.arrived_at)} "
-            f"begun {after(attempt.begun_at)} ended {after(attempt.ended_at)} {attempt.outcome} told {attempt.told_deadline_ms} ms"
-        )
+    clock = RelativeTimes(min((request.sent_at for request in requests), default=0.0))
+    lines = [f"{breach.invariant}: {breach.what}"]
+    lines += [_client_line(request, clock) for request in requests]
+    lines += [_attempt_line(attempt, clock) for attempt in evidence.attempts if attempt.name == name]
     lines += [f"  held {hold.longest_s:.3f} s" for hold in evidence.holds if hold.name == name]
-    for life in evidence.lives:
-        if requests and life.router == requests[0].router:
-            lines.append(
-                f"  process started {after(life.started_at)} ready {after(life.ready_at)} TERM {after(life.term_at)} "
-                f"KILL {after(life.kill_at)} ended {after(life.ended_at)} status {life.status}"
-            )
+    lines += [_process_line(life, clock) for life in evidence.lives if requests and life.router == requests[0].router]
+    if breach.invariant == "processes":
+        lines.append(evidence.log_ends.get(int(name.removeprefix("n")), ""))
     return "\n".join(lines)
 
 
+class RelativeTimes:
+    """Times as seconds after a request's last byte."""
+
+    def __init__(self, begin: float) -> None:
+        self.begin = begin
+
+    def __call__(self, at: float | None) -> str:
+        return "-" if at is None else f"{at - self.begin:+.3f}"
+
+
+def _client_line(request: ClientRequest, after: RelativeTimes) -> str:
+    end = "whole" if request.whole else request.error or "cut"
+    return (
+        f"  client {request.request_class} deadline {request.deadline_s} {request.behaviour or 'usual'} "
+        f"sent {after(request.sent_at)} first {after(request.first_at)} end {after(request.ended_at)} "
+        f"left {after(request.closed_at)} status {request.status} {end} {'new' if request.new_connection else 'kept'}"
+    )
+
+
+def _attempt_line(attempt: WorkerAttempt, after: RelativeTimes) -> str:
+    return (
+        f"  {attempt.worker} first byte {after(attempt.first_byte_at)} arrived {after(attempt.arrived_at)} begun "
+        f"{after(attempt.begun_at)} ended {after(attempt.ended_at)} {attempt.outcome} told {attempt.told_deadline_ms} ms"
+    )
+
+
+def _process_line(life: ProcessLife, after: RelativeTimes) -> str:
+    return (
+        f"  process started {after(life.started_at)} ready {after(life.ready_at)} TERM {after(life.term_at)} "
+        f"KILL {after(life.kill_at)} ended {after(life.ended_at)} status {life.status}"
+    )
+
+
 def phases_of(schedule: Schedule, evidence: Evidence) -> Counter[tuple[str, str, str]]:
     """What each fault met when it began: phases of requests and of the process."""
     if not evidence.requests:
--- a/ramppulley/load/soak/schedule.py
+++ b/ramppulley/load/soak/schedule.py
@@ -7,7 +7,8 @@
 
 ROUTERS, READERS, WRITERS = 10, 6, 6
 QUIET_S = 1.0  # before the first fault; longer in some schedules
-LENGTH_S = 9.0  # of the clients' traffic
+LENGTH_S, LONG_S = 9.0, 17.0  # of the clients' traffic; a change counts as told after 6 s
+LONG_SHARE = 0.25
 
 #: What a fault is done to, by its kind.
 LINK_FAULTS = (
@@ -91,12 +92,13 @@
     faults: list[Fault] = []
     quiet_s = QUIET_S if rng.random() < 0.8 else 3.0
     at_s = quiet_s
-    while at_s < LENGTH_S - 2.0:
+    length_s = LONG_S if rng.random() < LONG_SHARE else LENGTH_S
+    while at_s < length_s - 2.0:
         group = _rare_group(rng, kinds, played) if played else rng.sample(kinds, min(len(kinds), rng.choice((2, 2, 3))))
         for kind in group:
             faults.append(_draw_fault(rng, kind, at_s + rng.uniform(0.0, 0.4)))
         at_s += rng.uniform(1.2, 2.4)
-    return Schedule(seed, faults)
+    return Schedule(seed, faults, length_s)
 
 
 def _rare_group(rng: random.Random, kinds: tuple[str, ...], played: dict[tuple[str, str], int]) -> list[str]:
--- a/ramppulley/load/soak/world.py
+++ b/ramppulley/load/soak/world.py
@@ -23,11 +23,20 @@
 DESCRIPTORS = 256
 
 
+FIRST_PORT, LAST_PORT = 10_000, 32_000  # below those that the system gives to connections: a restart finds its own free
+
+
 def free_port() -> int:
-    """A port that nobody listens on now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port that nobody has now, nor is given while its router is away."""
+    rng = random.SystemRandom()
+    while True:
+        port = rng.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class World:
@@ -135,6 +144,7 @@
         self.states.look()
         for router in self.routers:
             self.evidence.log_faults += router.log_faults()
+            self.evidence.log_ends[router.number] = router.log_end()
             if router.shim is not None:
                 router.shim.close()
         listeners = [listener for worker in self.workers for listener in worker.listeners.values()]
--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 ENTRY = "ramppulley.standin.platform_mutants"
 
@@ -213,28 +213,32 @@
     PlatformConnector.start = twice  # type: ignore[method-assign]
 
 
-MUTANTS: dict[str, Callable[[], None]] = {
-    mutant.__name__: mutant
-    for mutant in (
-        wall_clock,
-        accept_dies,
-        ignores_leaving,
-        ignores_drain,
-        endless_watch,
-        no_release,
-        release_waits,
-        whole_deadline_told,
-        lost_means_never_ran,
-        holds_events,
-        patient_with_stalled,
-        stops_at_once,
-        takes_after_shutdown,
-        closes_rejected,
-        late_timers,
-        dies_by_reload,
-        serves_used_ids,
-        two_attempts,
-    )
+class Mutant(NamedTuple):
+    """A planted fault, and the kinds of faults of a schedule under which it shows."""
+
+    plant: Callable[[], None]
+    shows_under: tuple[str, ...]
+
+
+MUTANTS = {
+    "wall_clock": Mutant(wall_clock, ("clock_forward", "worker_join", "worker_crash")),
+    "accept_dies": Mutant(accept_dies, ("system_accept", "client_slow_write")),
+    "ignores_leaving": Mutant(ignores_leaving, ("client_leave", "worker_decline")),
+    "ignores_drain": Mutant(ignores_drain, ("worker_drain", "worker_slow")),
+    "endless_watch": Mutant(endless_watch, ("discovery_silent", "worker_drain")),
+    "no_release": Mutant(no_release, ("client_leave", "worker_hang")),
+    "release_waits": Mutant(release_waits, ("link_stall", "link_pieces")),
+    "whole_deadline_told": Mutant(whole_deadline_told, ("worker_decline", "worker_slow")),
+    "lost_means_never_ran": Mutant(lost_means_never_ran, ("link_reset_answer", "worker_half")),
+    "holds_events": Mutant(holds_events, ("client_slow_write", "worker_decline")),
+    "patient_with_stalled": Mutant(patient_with_stalled, ("client_stall_in_request", "client_slow_write")),
+    "stops_at_once": Mutant(stops_at_once, ("signal_term", "worker_slow")),
+    "takes_after_shutdown": Mutant(takes_after_shutdown, ("signal_term", "client_slow_write")),
+    "closes_rejected": Mutant(closes_rejected, ("worker_hang", "worker_decline")),
+    "late_timers": Mutant(late_timers, ("worker_hang", "link_stall")),
+    "dies_by_reload": Mutant(dies_by_reload, ("signal_hup", "discovery_slow")),
+    "serves_used_ids": Mutant(serves_used_ids, ("client_repeat_id", "client_leave")),
+    "two_attempts": Mutant(two_attempts, ("worker_slow", "worker_decline")),
 }
 
 
@@ -243,7 +247,7 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     from ramppulley.daemon.platform.command import main as run_platform
 
-    MUTANTS[name]()
+    MUTANTS[name].plant()
     return run_platform()
 
 
