--- a/tests/test_platform_list.py
+++ b/tests/test_platform_list.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from platform_rig import SETTINGS, Quiet, World, answer
+from platform_rig import SETTINGS, Quiet, World, answer, silent
 from rig import story
 
 from ramppulley.daemon.platform.log import Log
@@ -110,3 +110,44 @@
         world.list.tell(world.entry(world.writers[0], born=7000))
         await world.until(lambda: (world.node.endpoints.seq, boxes["s-r1"].state) == (2, "gone") and boxes["s-w0"].born)
         assert len(world.list.asked) == 2 and (await world.ask("q-1"))[0] == 200
+
+
+@story
+async def test_a_start_is_not_ready_by_an_old_list_while_discovery_is_about_to_tell_a_newer_one():
+    """What the agent has counts as told from the first moment of a process, and the known list may be old."""
+    async with World() as world:
+        await world.stop_router()
+        gate = asyncio.Event()
+
+        async def told_late(transport):
+            await gate.wait()
+            world.list.fault = None
+            transport.reset()
+
+        world.list.fault = told_late
+        await world.start_router()
+        early = await readiness(world)
+        gate.set()
+        await world.until(lambda: len(world.list.watches) > 0)
+        await asyncio.sleep(0.1)
+        assert (early, await readiness(world)) == (503, 200)
+
+
+@story
+async def test_a_start_is_ready_by_the_known_list_where_discovery_stays_silent():
+    async with World() as world:
+        await world.stop_router()
+        world.list.fault = silent
+        await world.start_router()
+        begin = asyncio.get_running_loop().time()
+        while await readiness(world) != 200:
+            await asyncio.sleep(0.02)
+        assert asyncio.get_running_loop().time() - begin < 1.5
+
+
+async def readiness(world):
+    transport = await world.connect()
+    await transport.send(http.request("GET", platform.READY, {"host": "a"}))
+    status = (await answer(transport))[0]
+    transport.close()
+    return status
