A repeat begins within its window or not at all

The module gives each repeat of what may have run the time until which it may begin, its window less the 0.15 s that a process may be held up; service/permission.py refuses a later first byte, the attempt ends as stale, and the module decides anew. The same figure in place of 30 ms where the repeat is decided. The same mistake elsewhere: the drain and slow start are looked at at the first byte already (WORKER_CHANGED), the client's time too (TIME_OVER).

--- a/ramppulley/engines/attempts.py
+++ b/ramppulley/engines/attempts.py
@@ -248,6 +248,7 @@
                 answered=attempt.life.ending is not None,
                 worker_changed=self._listed_state(attempt.box)
                 != attempt.listed,  # it drains, is gone, began anew or moved
+                window_over=core.window_over(attempt),
                 remaining=core.remaining(attempt),
             )
         )
--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -41,12 +41,13 @@
         "memory",
         "ahead",
         "expected",
+        "begin_until",  # a repeat's first byte may go out so long; None is no bound
         "__weakref__",
     ]
 
     def __init__(self, question, worker, reads, unread, start):
         self.question, self.worker, self.reads, self.unread = question, worker, reads, unread
-        self.start, self.first, self.withdrawn = start, None, False
+        self.start, self.first, self.withdrawn, self.begin_until = start, None, False, None
         self.memory = question.slip.prompt + (0 if reads else question.likely)
         self.ahead = worker.figures().ahead if worker.reads else 0
         self.expected = worker.read_time(unread) if worker.reads else 0
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -30,6 +30,7 @@
 MS = 10                         # tenths of a millisecond
 SHORT_LIST, DRAWN = 5, 8        # writers kept; drawn to be looked at: all of a small fleet
 SAMPLES, FRESH = 8, 4000 * MS   # last samples kept of anything; older than this they say nothing of now
+HELD_UP = 150 * MS              # a process may be between its clock and its write
 TICK, MARGIN = 80 * MS, 30 * MS # how often a waiting question is looked at; clocks run out before clients'
 FIRST_PACE, READ_FLOOR = 0.5, 400       # time per unread token before any is known; tokens' worth of any read
 SPEAKS_FOR = 8                  # our own sends stand for those of so many routers at most
@@ -368,7 +369,7 @@
             return not self.out
         same = {"all": lambda box: 0, "zone": lambda box: box.zone, "cell": lambda box: box.cell}[case.group]
         return case.effect == "receipted" and all(
-            self.now - s.start < case.window - MARGIN and same(s.worker.box) == same(worker.box)
+            self.now - s.start < case.window - HELD_UP and same(s.worker.box) == same(worker.box)
             for s in self.maybe_ran)
 
     def on_go(self, reader, writers):
@@ -386,6 +387,8 @@
             return False
         unread = 0 if self.held_by or not worker.reads else self.slip.prompt - worker.kept.of(self.slip)
         send = Send(self, worker, reads, max(0, unread), self.now)
+        if not reads and self.maybe_ran and self.slip.use_case.effect == "receipted":
+            send.begin_until = min([s.start for s in self.maybe_ran]) + self.slip.use_case.window - HELD_UP
         self.sends += 1
         self.router.attempted = self.now
         self.out.append(send)
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -104,6 +104,10 @@
         """What is left of an attempt's time-out, which counts from its decision. Never more than its client waits."""
         return out.started + out.time_out - self.clock.now()
 
+    def window_over(self, out):
+        """Whether a repeat would come too late to be known for one."""
+        return out.begin_until is not None and self.clock.now() > out.begin_until
+
     def ended(self, out, end):
         """The one outcome of a send."""
         life = out.life
@@ -156,6 +160,7 @@
         life = self.lives[slip]
         self._check_send(life)
         out = Out(life, box, send, len(life.outs), box.role == "read", time_out, self.clock.now(), life.state)
+        out.begin_until = getattr(send, "begin_until", None)
         life.outs.append(out)
         if not out.reads and life.place is not box:
             self._let_place_go(life)
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -88,6 +88,7 @@
     time_out: int
     started: int
     state: Any = None  # to be fetched by this send
+    begin_until: int | None = None  # its first byte may go out so long
     first: int | None = None
     withdrawn: bool = False
     ended: bool = False
--- a/ramppulley/service/permission.py
+++ b/ramppulley/service/permission.py
@@ -14,6 +14,7 @@
     CLIENT_GONE = "client gone"
     WORKER_CHANGED = "the list told otherwise of the worker"
     TIME_OVER = "the time ran out before the first byte"
+    WINDOW_OVER = "workers may not know it for a repeat any more"
     ALREADY_ANSWERED = "answered already"
     PEER_SPOKE = "its peer closed, or sent what is no answer"
     LAST_BYTE_WRITTEN = "the request may have begun"
@@ -33,14 +34,16 @@
     client_gone: bool
     answered: bool
     worker_changed: bool
+    window_over: bool  # of a repeat
     remaining: int
 
 
 def may_begin_attempt(facts: AttemptFacts) -> Refusal | None:
-    """Rules 1, 3 and 4: an attempt's first byte.
+    """Rules 1 to 4: an attempt's first byte.
 
-    >>> may_begin_attempt(AttemptFacts(False, False, False, 100)), may_begin_attempt(AttemptFacts(True, False, True, 100))
-    (None, <Refusal.CLIENT_GONE: 'client gone'>)
+    >>> may_begin_attempt(AttemptFacts(False, False, False, False, 100))
+    >>> may_begin_attempt(AttemptFacts(True, False, True, False, 100))
+    <Refusal.CLIENT_GONE: 'client gone'>
     """
     if facts.client_gone:
         return Refusal.CLIENT_GONE
@@ -48,6 +51,8 @@
         return Refusal.ALREADY_ANSWERED
     if facts.worker_changed:
         return Refusal.WORKER_CHANGED
+    if facts.window_over:
+        return Refusal.WINDOW_OVER
     return Refusal.TIME_OVER if facts.remaining <= 0 else None
 
 
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -30,6 +30,9 @@
         out.first, self.firsts = 1, self.firsts + 1
         return True
 
+    def window_over(self, out):
+        return False
+
     def refused(self, out, refusal):
         pass
 
