--- a/ramppulley/load/soak/oracle.py
+++ b/ramppulley/load/soak/oracle.py
@@ -24,6 +24,7 @@
     cold_s: float
     cold_window_s: float
     cold_calls: float  # N: what a cold worker may get in one window at its start
+    repeat_window_s: float  # for which workers drop repeats of the guarded class
 
 
 class Breach(NamedTuple):
@@ -135,6 +136,18 @@
             yield f"{name} at n{request.router}: ran {len(begun)} times, at {', '.join(a.worker for a in begun)}"
 
 
+def repeat_in_window(view: View) -> Iterator[str]:
+    """Rule 2 and term 15: what workers drop as a repeat reaches them while they know it."""
+    for name, attempts in view.attempts.items():
+        request = view.requests.get(name)
+        begun = [attempt for attempt in attempts if attempt.decode and attempt.begun_at and attempt.arrived_at]
+        if request is None or request.request_class != "book" or len(begun) < 2:
+            continue
+        times = sorted(attempt.arrived_at or 0.0 for attempt in begun)
+        if times[-1] - times[0] > view.rules.repeat_window_s + view.slack(times[-1]):
+            yield f"{name} at n{request.router}: ran again {times[-1] - times[0]:.2f} s after its first attempt"
+
+
 def one_attempt_at_a_time(view: View) -> Iterator[str]:
     """Rule 2: no attempt begins while another of the same request stands on a connection that the router kept open."""
     for name, attempts in view.attempts.items():
@@ -294,6 +307,7 @@
     whole_stream,
     served_once,
     no_effect_twice,
+    repeat_in_window,
     one_attempt_at_a_time,
     client_gone,
     deadline_told,
--- a/ramppulley/load/soak/settings.py
+++ b/ramppulley/load/soak/settings.py
@@ -5,9 +5,15 @@
 from ramppulley.load.soak.oracle import Rules
 
 RELEASE_S, DRAIN_GRACE_S, COLD_S, COLD_WINDOW_S, COLD_FROM, COLD_MULTIPLE = 0.5, 0.5, 6.0, 1.5, 0.2, 1.5
+WINDOW_S = 1.0  # for which workers drop repeats of the guarded class
 WORKER_CALLS_PER_S = 10.0  # that a warm worker bears
 RULES = Rules(
-    RELEASE_S, DRAIN_GRACE_S, COLD_S, COLD_WINDOW_S, COLD_MULTIPLE * WORKER_CALLS_PER_S * COLD_FROM * COLD_WINDOW_S
+    RELEASE_S,
+    DRAIN_GRACE_S,
+    COLD_S,
+    COLD_WINDOW_S,
+    COLD_MULTIPLE * WORKER_CALLS_PER_S * COLD_FROM * COLD_WINDOW_S,
+    WINDOW_S,
 )
 
 
@@ -40,7 +46,7 @@
                 "Credit": 1.5,
                 "Effect": "guarded",
                 "KeyScope": "all",
-                "WindowS": 5.0,
+                "WindowS": WINDOW_S,
                 "GiveUpS": 4.0,
                 "Name": "book",
                 "Stream": True,
--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -184,6 +184,24 @@
     PlatformFront._forget_request = lambda self, name: self.open_requests.pop(name)  # type: ignore[method-assign]
 
 
+def repeats_late() -> None:
+    """A guarded class is repeated whenever there is time left, after a pause."""
+    from ramppulley.engines.platform.connector import PlatformConnector
+    from ramppulley.rules import Question
+    from ramppulley.service.core import Core
+
+    Core.window_over = lambda self, out: False  # type: ignore[method-assign]
+    Question.may_run_at = lambda self, worker: not self.out  # type: ignore[attr-defined]
+    before = PlatformConnector._before_first_byte
+
+    async def late(self: Any, attempt: Any) -> None:
+        if attempt.number and not attempt.reads:
+            await asyncio.sleep(0.6)
+        await before(self, attempt)
+
+    PlatformConnector._before_first_byte = late  # type: ignore[method-assign]
+
+
 def two_attempts() -> None:
     """The prefill is asked twice at once."""
     from ramppulley.engines.platform.connector import PlatformConnector
@@ -238,6 +256,7 @@
     "late_timers": Mutant(late_timers, ("worker_hang", "link_stall")),
     "dies_by_reload": Mutant(dies_by_reload, ("signal_hup", "discovery_slow")),
     "serves_used_ids": Mutant(serves_used_ids, ("client_repeat_id", "client_leave")),
+    "repeats_late": Mutant(repeats_late, ("worker_half", "worker_garbage")),
     "two_attempts": Mutant(two_attempts, ("worker_slow", "worker_decline")),
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,10 @@
     "whole_stream": changed("requests", body=b"data: something else\n\n"),
     "served_once": lambda evidence: evidence.bad_bodies.append("q: an id that was used is served again"),
     "no_effect_twice": added("attempts", WorkerAttempt("q", 0, "w2", True, 10.45, 1500, 10.45, 10.46, 10.5, "whole")),
+    "repeat_in_window": lambda evidence: (
+        changed("requests", request_class="book")(evidence),
+        added("attempts", WorkerAttempt("q", 0, "w2", True, 11.4, 500, 11.4, 11.5, 11.6, "whole"))(evidence),
+    ),
     "one_attempt_at_a_time": added(
         "attempts", WorkerAttempt("q", 0, "w2", False, 10.2, 1500, 10.2, None, 10.3, "whole")
     ),
