--- a/ramppulley/load/soak/run.py
+++ b/ramppulley/load/soak/run.py
@@ -157,7 +157,7 @@
     """Plays schedules side by side; none begins after `until` (monotonic)."""
     waiting = iter(schedules)
     with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
-        running = {pool.submit(play, schedule) for schedule, _ in zip(waiting, range(jobs))}
+        running = {pool.submit(play, schedule) for _, schedule in zip(range(jobs), waiting)}
         while running:
             done = next(as_completed(running))
             running.discard(done)
--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -195,10 +195,11 @@
     before = PlatformConnector._before_first_byte
 
     async def late(self: Any, attempt: Any) -> None:
-        if attempt.number and not attempt.reads:
-            await asyncio.sleep(0.6)
+        if not attempt.reads and any(not earlier.reads for earlier in attempt.life.outs[:-1]):
+            await asyncio.sleep(0.4)
         await before(self, attempt)
 
+    PlatformConnector._start_release = lambda self, life: None  # type: ignore[method-assign]
     PlatformConnector._before_first_byte = late  # type: ignore[method-assign]
 
 
