--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -195,11 +195,10 @@
     before = PlatformConnector._before_first_byte
 
     async def late(self: Any, attempt: Any) -> None:
-        if not attempt.reads and any(not earlier.reads for earlier in attempt.life.outs[:-1]):
-            await asyncio.sleep(0.4)
+        if attempt.reads and any(not earlier.reads for earlier in attempt.life.outs[:-1]):
+            await asyncio.sleep(1.1)  # the prompt is read again, late
         await before(self, attempt)
 
-    PlatformConnector._start_release = lambda self, life: None  # type: ignore[method-assign]
     PlatformConnector._before_first_byte = late  # type: ignore[method-assign]
 
 
