--- a/ramppulley/load/soak/evidence.py
+++ b/ramppulley/load/soak/evidence.py
@@ -90,6 +90,9 @@
     told: dict[tuple[int, str], list[tuple[float, str]]] = field(default_factory=dict)  # (router, worker): when, state
     changed: dict[str, list[tuple[float, str]]] = field(default_factory=dict)  # worker: when discovery had it, state
     unreachable: dict[int, list[tuple[float, float]]] = field(default_factory=dict)  # router: spans without discovery
+    flooded: dict[int, list[tuple[float, float]]] = field(
+        default_factory=dict
+    )  # router: spans with a flood of idle clients
     born: dict[str, float] = field(default_factory=dict)  # workers that started cold during the run
     lags: list[tuple[float, float]] = field(default_factory=list)  # of the rig's own process: when, seconds late
     log_faults: list[str] = field(default_factory=list)  # lines by which a router reports a fault of its own
--- a/ramppulley/load/soak/faults.py
+++ b/ramppulley/load/soak/faults.py
@@ -15,6 +15,7 @@
 
 HOUR_S, STOP_S, SIGNAL_GAP_S, OLD_DISCOVERY_S = 3600.0, 0.15, 0.004, 1.5
 KILL_AFTER_TERM_S = 4.8  # the longest deadline and 0.7 s more
+FLOOD_TAIL_S = 2.0  # its connections stay so long
 MIN_READY = 3  # workers of a role that faults leave
 OUTAGES = ("discovery_silent", "discovery_refuse", "discovery_slow", "discovery_torn")
 ERRNOS = {
@@ -45,7 +46,12 @@
             await self._discovery(fault)
         elif fault.kind in CLIENT_FAULTS:
             hit = [clients for clients in self.world.clients if fault.hits(clients.router)]
+            began = time.monotonic()
             await self._count_up([clients.faults for clients in hit], fault)
+            if fault.kind == "client_flood":
+                for clients in hit:
+                    span = (began, time.monotonic() + FLOOD_TAIL_S)
+                    self.world.evidence.flooded.setdefault(clients.router, []).append(span)
         elif fault.kind in PROCESS_FAULTS:
             await asyncio.gather(*[self._signal(router, fault.kind) for router in fault.routers])
         elif fault.kind.startswith("worker_"):
--- a/ramppulley/load/soak/oracle.py
+++ b/ramppulley/load/soak/oracle.py
@@ -92,6 +92,8 @@
     """Rule 1, terms 3 and 5: one final answer, or its stream's begin, by the deadline and half a second."""
     for request in usual(view):
         answered_at = request.first_at if request.status else None
+        if answered_at is None and _shut_unread(view, request):
+            continue
         if answered_at is None:
             yield f"{request.name} at n{request.router}: no answer, {request.error or 'the connection ended'}"
             continue
@@ -105,6 +107,15 @@
             yield f"{request.name} at n{request.router}: answered after {answered_at - request.sent_at:.2f} s"
 
 
+def _shut_unread(view: View, request: ClientRequest) -> bool:
+    """While idle clients fill all descriptors, a new connection may be shut before its request was read."""
+    spans = view.evidence.flooded.get(request.router, [])
+    flooded = any(begin <= request.sent_at <= end for begin, end in spans)
+    return (
+        flooded and request.new_connection and request.name not in view.attempts and request.error != "no end in 12 s"
+    )
+
+
 def whole_stream(view: View) -> Iterator[str]:
     """A stream that its worker finished arrives whole and unchanged; none is cut while its worker writes well."""
     for request in usual(view):
--- a/ramppulley/load/soak/schedule.py
+++ b/ramppulley/load/soak/schedule.py
@@ -9,6 +9,7 @@
 QUIET_S = 1.0  # before the first fault; longer in some schedules
 LENGTH_S, LONG_S = 9.0, 17.0  # of the clients' traffic; a change counts as told after 6 s
 LONG_SHARE = 0.25
+FEW_DESCRIPTORS, FEW_SHARE = 64, 0.2
 
 #: What a fault is done to, by its kind.
 LINK_FAULTS = (
@@ -40,6 +41,9 @@
     "worker_half",
     "worker_garbage",
     "worker_slow",
+    "worker_idle_close",
+    "worker_idle_reset",
+    "worker_idle_forget",
 )
 CLIENT_FAULTS = (
     "client_leave",
@@ -83,6 +87,7 @@
     routers: int = ROUTERS
     requests_per_s: float = 6.0  # at each router
     mutant: str = ""
+    descriptors: int = 256  # that a router may have open
 
 
 def draw(seed: int, only: tuple[str, ...] = (), played: dict[tuple[str, str], int] | None = None) -> Schedule:
@@ -98,7 +103,8 @@
         for kind in group:
             faults.append(_draw_fault(rng, kind, at_s + rng.uniform(0.0, 0.4)))
         at_s += rng.uniform(1.2, 2.4)
-    return Schedule(seed, faults, length_s)
+    descriptors = FEW_DESCRIPTORS if rng.random() < FEW_SHARE else 256
+    return Schedule(seed, faults, length_s, descriptors=descriptors)
 
 
 def _rare_group(rng: random.Random, kinds: tuple[str, ...], played: dict[tuple[str, str], int]) -> list[str]:
--- a/ramppulley/load/soak/workers.py
+++ b/ramppulley/load/soak/workers.py
@@ -12,6 +12,8 @@
 
 PREFILL_S, DECODE_S, EVENT_GAP_S, EVENTS = 0.02, 0.03, 0.03, 4
 SLOW_FACTOR = 10
+IDLE_FAULTS, IDLE_FAULT_S = ("worker_idle_close", "worker_idle_reset", "worker_idle_forget"), 0.08
+FORGOTTEN_S = 8.0
 LOOK_S = 0.004  # it sees so soon that its router closed
 EVENT_STREAM = http.answer_head(200, {"content-type": "text/event-stream"})
 DECLINED = {"srv-declined": "1"}
@@ -100,6 +102,7 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.dead, self.born_ms, self.state = False, 0, "Ready"
+        self.forgotten: list[LinkConnection] = []  # open, and heard by nobody
 
     def listen(self, router: int) -> None:
         """An address of its own for that router."""
@@ -113,6 +116,10 @@
                 await connection.wait_unserved(0.6)
             try:
                 await self._serve(router, connection)
+                while connection in self.forgotten and transport.has_unread_bytes() is False and not transport.closed:
+                    await asyncio.sleep(IDLE_FAULT_S)
+                if connection in self.forgotten:
+                    await asyncio.sleep(FORGOTTEN_S)
             finally:
                 connection.close()
 
@@ -144,7 +151,7 @@
         while True:
             while not parser.ready:
                 began = parser.begun
-                data = await self._receive_alive(connection)
+                data = await self._receive_alive(connection, idle=not began)
                 if not data:
                     return
                 if not began:
@@ -163,12 +170,26 @@
             else:
                 await self._small_call(connection, request)
 
-    async def _receive_alive(self, connection: LinkConnection) -> bytes:
+    async def _receive_alive(self, connection: LinkConnection, idle: bool) -> bytes:
         if self.dead:
             connection.transport.reset()
             return b""
+        if idle and any(self.has(fault) for fault in IDLE_FAULTS):
+            try:
+                async with asyncio.timeout(IDLE_FAULT_S):
+                    return await connection.receive()
+            except TimeoutError:
+                return self._end_idle(connection)
         return await connection.receive()
 
+    def _end_idle(self, connection: LinkConnection) -> bytes:
+        """Ends a connection that is idle, or forgets it: then what comes on it is never heard."""
+        if self.has("worker_idle_forget"):
+            self.forgotten.append(connection)
+        elif self.has("worker_idle_reset"):
+            connection.transport.reset()
+        return b""
+
     async def _small_call(self, connection: LinkConnection, request: http.Request) -> None:
         if request.method == "DELETE":
             self.states.release(request.target.rpartition("/")[2].replace("%3A", ":"))
