Failing test: missed probes make loaded workers suspect

The tick probes a worker that was quiet for 0.3 s; on a loaded fleet a new connection and its answer take longer than ConnectTimeoutS, and workers are quiet for a second.

--- a/tests/test_rules_workers.py
+++ b/tests/test_rules_workers.py
@@ -1,5 +1,6 @@
 """Stories of the decisions: workers that drain, warm up, fall silent or are probed."""
 
+import pytest
 from fakehost import MS, FakeHost, S, box, fleet
 from rules_rig import read
 
@@ -138,3 +139,21 @@
         host.router.tell(host.now, (cold, "listed", "ready", host.now))
         starts.append(cold.cold_next - host.now)
     assert len(set(starts)) > 5 and max(starts) - min(starts) > 100 * MS
+
+
+@pytest.mark.parametrize("usual_ms, doubted", [(0, True), (1500, False)], ids=["quick workers", "a loaded fleet"])
+def test_unanswered_probes_say_nothing_before_the_usual_wait_is_over(usual_ms, doubted):
+    """On a loaded fleet a probe takes as long as all else, and a worker that is quiet for a second is as its like."""
+    boxes = [box(1, "read"), box(2, "read"), box(3, "read"), box(9, "write")]
+    host = FakeHost(boxes, probes=True)
+    host.now = 10 * S
+    workers = [host.router.workers[worker] for worker in boxes]
+    for worker in workers[1:3]:
+        worker.waits.add(host.now, usual_ms * MS)
+    slip = host.ask(session="a")
+    reader = host.router.workers[host.last(slip)[2]]
+    for _ in range(3):
+        host.wait(300 * MS)
+        reader.probing = True
+        host.router.probed(host.now, reader.box, door.TOO_SLOW, None)
+    assert bool(reader.doubted) is doubted
