--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -281,7 +281,7 @@
             self.trust()
         elif outcome != STALE:      # alone it proves nothing: connections open slowly; but others come first
             self.missed += 1
-            if self.doubted or (self.missed > 1 and self.quiet() > SILENT_LEAST):
+            if self.doubted or (self.missed > 1 and self.quiet() > SILENT_LEAST + self.usual_wait()):
                 self.doubt("probe unanswered")
 
     def on_tick(self):
@@ -289,10 +289,7 @@
         if quiet > SILENT_LEAST / 2 and self.router.permits.probes:    # a probe is answered between others' work
             self.on_look()
         if quiet > SILENT_LEAST and not self.doubted:
-            like = self.router.roster.like(self)
-            usual = max([f for w in like for f in w.waits.recent(self.now)], default=0)
-            if self.reads:
-                usual = max(usual, self.read_time(0), max(s.expected for s in self.out))
+            usual = self.usual_wait()
             if quiet > SILENT_LEAST + SILENT_TIMES * usual:
                 self.doubt(f"silent {quiet // MS} ms, usual {usual // MS}")
         if self.router.permits.release_beside:
@@ -303,6 +300,14 @@
             if send.first is None and send.start <= self.doubted_at:    # not its trial, which came later
                 send.question.note("doubted", send)
 
+    def usual_wait(self):
+        """How long its like took at most of late until their first word, and what it was expected to take itself."""
+        like = self.router.roster.like(self)
+        usual = max([f for w in like for f in w.waits.recent(self.now)], default=0)
+        if self.reads:
+            usual = max([usual, self.read_time(0), *[s.expected for s in self.out]])
+        return usual
+
     def on_time_up(self):
         if self.doubted == CUT and any(s.first for s in self.out if s.start <= self.doubted_at):
             self.trust()        # a connection was lost, not the worker: its other streams go on
