--- a/tests/test_rules_workers.py
+++ b/tests/test_rules_workers.py
@@ -151,6 +151,7 @@
     for worker in workers[1:3]:
         worker.waits.add(host.now, usual_ms * MS)
     slip = host.ask(session="a")
+    host.wait(100 * MS)  # for reports, of which none comes
     reader = host.router.workers[host.last(slip)[2]]
     for _ in range(3):
         host.wait(300 * MS)
