--- a/ramppulley/load/soak/clients.py
+++ b/ramppulley/load/soak/clients.py
@@ -13,7 +13,7 @@
 from ramppulley.wire.sockets import Transport, connect
 
 CLASSES = ("lookup", "lodge", "book")
-DEADLINES_S = (1.5, 3.0, 4.0)
+DEADLINES_S = (0.3, 1.5, 3.0, 4.0)
 MAX_IDLE = 6  # connections that a client keeps to one router
 CLIENT_TIMEOUT_S = 12.0
 BODY = b'{"model":"chat","stream":true,"messages":[]}'
