--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -12,11 +12,17 @@
 ENTRY = "ramppulley.standin.platform_mutants"
 
 
+def replace(owner: object, name: str, planted: object) -> None:
+    """Plants `planted` as the attribute `name`, which the owner has."""
+    getattr(owner, name)
+    setattr(owner, name, planted)
+
+
 def wall_clock() -> None:
     """Ages of workers by the wall clock alone."""
     from ramppulley.service.clock import StartAges
 
-    StartAges.age_ms = lambda self, started, now, wall_ms: max(0, wall_ms - started)  # type: ignore[method-assign]
+    replace(StartAges, "age_ms", lambda self, started, now, wall_ms: max(0, wall_ms - started))
 
 
 def accept_dies() -> None:
@@ -27,8 +33,8 @@
         while await self._accept_next(readable):
             pass
 
-    sockets.Listener._accept = accept  # type: ignore[method-assign]
-    sockets.Listener._on_accepting_done = lambda self, task: None  # type: ignore[method-assign]
+    replace(sockets.Listener, "_accept", accept)
+    replace(sockets.Listener, "_on_accepting_done", lambda self, task: None)
 
 
 def ignores_leaving() -> None:
@@ -40,8 +46,8 @@
         await asyncio.wait({done})
         return True
 
-    ClientConnection.wait_for = wait_for  # type: ignore[method-assign]
-    ResponseStream.gone = lambda self: False  # type: ignore[method-assign]
+    replace(ClientConnection, "wait_for", wait_for)
+    replace(ResponseStream, "gone", lambda self: False)
 
 
 def ignores_drain() -> None:
@@ -62,14 +68,14 @@
     """What is held is never released."""
     from ramppulley.engines.platform.connector import PlatformConnector
 
-    PlatformConnector._owe_release = lambda self, life, delay_s: None  # type: ignore[method-assign]
+    replace(PlatformConnector, "_owe_release", lambda self, life, delay_s: None)
 
 
 def release_waits() -> None:
     """A release waits for a decode that may never have arrived."""
     from ramppulley.rules import Question
 
-    Question.on_unanswered = lambda self, send: None  # type: ignore[attr-defined]
+    replace(Question, "on_unanswered", lambda self, send: None)
 
 
 def whole_deadline_told() -> None:
@@ -82,7 +88,7 @@
         attempt.remaining = attempt.life.request.deadline + 3_000
         return build(self, attempt, connections)
 
-    PlatformConnector._build_request = told_all  # type: ignore[method-assign]
+    replace(PlatformConnector, "_build_request", told_all)
 
 
 def lost_means_never_ran() -> None:
@@ -107,7 +113,7 @@
 
     from ramppulley.fronts.platform.server import EventStream
 
-    EventStream.piece = late  # type: ignore[method-assign]
+    replace(EventStream, "piece", late)
 
 
 def patient_with_stalled() -> None:
@@ -128,7 +134,7 @@
     async def at_once(self: Any, accept_s: float = 0.0, timeout_s: float = 0.0) -> None:
         await stop(self, 0.0, 0.0)
 
-    node.Node.stop = at_once  # type: ignore[method-assign]
+    replace(node.Node, "stop", at_once)
 
 
 def takes_after_shutdown() -> None:
@@ -141,7 +147,7 @@
     async def late(self: Any, accept_s: float = 3.0, timeout_s: float = 600.0) -> None:
         await stop(self, 3.0, timeout_s)
 
-    node.Node.stop = late  # type: ignore[method-assign]
+    replace(node.Node, "stop", late)
 
 
 def closes_rejected() -> None:
@@ -156,7 +162,7 @@
             return False
         return await send_ending(self, connection, stream, ending, keep_alive)
 
-    PlatformFront._send_ending = silent  # type: ignore[method-assign]
+    replace(PlatformFront, "_send_ending", silent)
 
 
 def late_timers() -> None:
@@ -164,7 +170,7 @@
     from ramppulley.service.clock import LoopClock
 
     after = LoopClock.after
-    LoopClock.after = lambda self, wait, call, *args: after(self, 3 * wait, call, *args)  # type: ignore[method-assign]
+    replace(LoopClock, "after", lambda self, wait, call, *args: after(self, 3 * wait, call, *args))
 
 
 def dies_by_reload() -> None:
@@ -174,14 +180,14 @@
     def reload(self: Any, path: str) -> None:
         signal.raise_signal(signal.SIGKILL)
 
-    node.Node.reload = reload  # type: ignore[method-assign]
+    replace(node.Node, "reload", reload)
 
 
 def serves_used_ids() -> None:
     """An id that was used is served again."""
     from ramppulley.fronts.platform.server import PlatformFront
 
-    PlatformFront._forget_request = lambda self, name: self.open_requests.pop(name)  # type: ignore[method-assign]
+    replace(PlatformFront, "_forget_request", lambda self, name: self.open_requests.pop(name))
 
 
 def repeats_late() -> None:
@@ -190,8 +196,8 @@
     from ramppulley.rules import Question
     from ramppulley.service.core import Core
 
-    Core.window_over = lambda self, out: False  # type: ignore[method-assign]
-    Question.may_run_at = lambda self, worker: not self.out  # type: ignore[attr-defined]
+    replace(Core, "window_over", lambda self, out: False)
+    replace(Question, "may_run_at", lambda self, worker: not self.out)
     before = PlatformConnector._before_first_byte
 
     async def late(self: Any, attempt: Any) -> None:
@@ -199,7 +205,7 @@
             await asyncio.sleep(1.1)  # the prompt is read again, late
         await before(self, attempt)
 
-    PlatformConnector._before_first_byte = late  # type: ignore[method-assign]
+    replace(PlatformConnector, "_before_first_byte", late)
 
 
 def two_attempts() -> None:
@@ -227,8 +233,8 @@
             parser.feed(await transport.receive())
         self.workers[box].connections.discard(transport)
 
-    PlatformConnector._shadow = shadow  # type: ignore[attr-defined]
-    PlatformConnector.start = twice  # type: ignore[method-assign]
+    setattr(PlatformConnector, "_shadow", shadow)  # noqa: B010 - it has none
+    replace(PlatformConnector, "start", twice)
 
 
 class Mutant(NamedTuple):
