--- a/tests/test_settings_scales.py
+++ b/tests/test_settings_scales.py
@@ -38,6 +38,7 @@
     "MS",
     "FRESH",
     "TICK",
+    "HELD_UP",
     "MARGIN",
     "FIRST_PACE",
     "PROBE_EVERY",
