--- a/ramppulley/load/soak/discovery.py
+++ b/ramppulley/load/soak/discovery.py
@@ -84,7 +84,7 @@
             transport.reset()
             raise ConnectionResetError
         await transport.send(http.chunk(line + b"\n"))
-        if update:
+        if update and transport.is_quiet():  # else its router has given this watch up, and never reads it
             self._note(update)
 
     def _note(self, update: dict[str, Any]) -> None:
