--- a/ramppulley/load/soak/schedule.py
+++ b/ramppulley/load/soak/schedule.py
@@ -41,6 +41,7 @@
     "worker_half",
     "worker_garbage",
     "worker_slow",
+    "worker_queue",
     "worker_idle_close",
     "worker_idle_reset",
     "worker_idle_forget",
--- a/ramppulley/load/soak/workers.py
+++ b/ramppulley/load/soak/workers.py
@@ -225,6 +225,8 @@
         """Works so long, unless the router closes: whether it is still there."""
         if self.has("worker_slow"):
             seconds *= SLOW_FACTOR
+        while self.has("worker_queue") and connection.transport.is_quiet():  # it has come, and waits for its turn
+            await asyncio.sleep(LOOK_S)
         until = time.monotonic() + seconds
         while (left_s := until - time.monotonic()) > 0 and connection.transport.is_quiet():
             await asyncio.sleep(min(LOOK_S, left_s))
--- a/ramppulley/standin/platform.py
+++ b/ramppulley/standin/platform.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import socket
-from collections import deque
+from collections import Counter, deque
+from contextlib import contextmanager
 
 import msgspec
 
@@ -26,6 +27,28 @@
 DECLINED = {"srv-declined": "1"}
 
 
+class KvYard(set):
+    """Names of requests whose KV state some prefill worker holds; a release frees what no decode waits for."""
+
+    def __init__(self):
+        super().__init__()
+        self.awaited = Counter()  # decodes that arrived, by name
+
+    def release(self, name):
+        """A `DELETE` came, to whichever worker."""
+        if not self.awaited[name]:
+            self.discard(name)
+
+    @contextmanager
+    def waiting(self, name):
+        """A decode that arrived waits for this state, until its worker knows that it was given up."""
+        self.awaited[name] += 1
+        try:
+            yield
+        finally:
+            self.awaited[name] -= 1
+
+
 class PlatformWorker:
     """One reader or writer. `log`: (method, path, id, body) of each request as it came."""
 
@@ -94,7 +117,7 @@
 
     async def _answer(self, transport, request, name):
         if request.method == "DELETE":
-            self.yard.discard(request.target.rpartition("/")[2])
+            self.yard.release(request.target.rpartition("/")[2])
             await transport.send(http.answer(204, {}))
         elif request.method == "GET":
             report = b'{"lat_ms":12,"x0":0.25,"x1":1.5}' if request.path == platform.LOAD else b""
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -7,7 +7,7 @@
 from ramppulley.daemon.platform.log import Log
 from ramppulley.daemon.platform.node import Node
 from ramppulley.rules import Router
-from ramppulley.standin.platform import EVENTS, PlatformList, PlatformWorker
+from ramppulley.standin.platform import EVENTS, KvYard, PlatformList, PlatformWorker
 from ramppulley.wire import http
 from ramppulley.wire.sockets import connect
 
@@ -61,7 +61,7 @@
 
 class World:
     def __init__(self, readers=1, writers=1, sockets=256, token_s=0.0, known=True, make=Router, settings=SETTINGS):
-        self.yard, self.known, self.sockets, self.make, self.settings = set(), known, sockets, make, settings
+        self.yard, self.known, self.sockets, self.make, self.settings = KvYard(), known, sockets, make, settings
         self.readers = [PlatformWorker(f"s-r{i}", "read", self.yard) for i in range(readers)]
         self.writers = [PlatformWorker(f"s-w{i}", "write", self.yard, token_s) for i in range(writers)]
         self.list, self.lines = PlatformList(), Quiet()
--- /dev/null
+++ b/tests/test_held_state_given_up.py
@@ -0,0 +1,96 @@
+"""Rule 5 where a decode arrived, waited for its KV state longer than that may be held, and was given up unanswered.
+
+The release that goes out beside it frees nothing, as the decode waits for the state; one more is owed behind its end.
+"""
+
+import asyncio
+import time
+from itertools import product
+
+from platform_rig import SETTINGS, World, question
+from rig import story
+from test_race_handover import RELEASE_S, SLACK_S, releases, until_over
+
+from ramppulley.standin.platform import GOOD
+
+NO_PROBES = SETTINGS | {"Bounds": SETTINGS["Bounds"] | {"Probing": False, "ConnectTimeoutS": 2.0}}
+CLOSE_SEEN_AFTER_S = (0.0, 0.1, 0.9)  # a busy or hung worker sees late that its router closed
+
+
+class StuckDecode:
+    """A decode that arrives waits for its turn until its worker sees that the router closed, so long after the close."""
+
+    def __init__(self, world, close_seen_after_s):
+        self.world, self.close_seen_after_s, self.ended_at = world, close_seen_after_s, None
+        world.writers[0].scripts.append(self.play)
+
+    async def play(self, transport):
+        with self.world.yard.waiting("q-1"):
+            await until_over(transport)
+            await asyncio.sleep(self.close_seen_after_s)
+        self.ended_at = time.monotonic()
+
+    async def state_released_in_time(self):
+        await self.world.until(lambda: self.ended_at)
+        await asyncio.sleep(max(0.0, self.ended_at + RELEASE_S + SLACK_S - time.monotonic()))
+        held = "q-1" in self.world.yard
+        self.world.yard.clear()
+        return not held
+
+
+async def runs_out_of_time(kind, close_seen_after_s):
+    async with World(settings=NO_PROBES) as world:
+        decode = StuckDecode(world, close_seen_after_s)
+        status = (await world.ask("q-1", req_kind=kind, req_deadline_ms="1200"))[0]
+        assert status == (503 if kind == "lookup" else 504)
+        return await decode.state_released_in_time()
+
+
+async def worker_falls_suspect(kind, close_seen_after_s):
+    """The request goes on, and waits in line: no other decode worker is there."""
+    async with World(settings=NO_PROBES) as world:
+        decode = StuckDecode(world, close_seen_after_s)
+        asking = asyncio.create_task(world.ask("q-1", req_kind=kind, req_deadline_ms="3000"))
+        await world.until(lambda: releases(world.workers))  # the one beside the decode
+        (life,) = world.node.core.lives.values()
+        decode_worker = world.node.core.router.workers[life.outs[-1].box]
+        decode_worker.doubt("silent", True)
+        decode_worker.trial_at += 10**6
+        released = await decode.state_released_in_time()
+        await asking
+        return released
+
+
+async def client_leaves(kind, close_seen_after_s):
+    async with World(settings=NO_PROBES) as world:
+        decode, client = StuckDecode(world, close_seen_after_s), await world.connect()
+        await client.send(question("q-1", req_kind=kind))
+        await world.until(lambda: releases(world.workers))
+        client.close()
+        return await decode.state_released_in_time()
+
+
+@story
+async def test_a_state_is_released_behind_a_decode_that_was_given_up_after_a_release_beside_it():
+    cases = list(
+        product((runs_out_of_time, worker_falls_suspect, client_leaves), ("lookup", "lodge"), CLOSE_SEEN_AFTER_S)
+    )
+    released = await asyncio.gather(*[end(kind, seen_after_s) for end, kind, seen_after_s in cases])
+    assert not [(end.__name__, *case) for (end, *case), in_time in zip(cases, released) if not in_time]
+
+
+@story
+async def test_a_state_that_its_decode_takes_behind_a_release_is_not_released_again():
+    async with World(settings=NO_PROBES) as world:
+
+        async def slow(transport):
+            with world.yard.waiting("q-1"):
+                await world.until(lambda: releases(world.workers))
+            world.yard.discard("q-1")
+            await transport.send(GOOD)
+
+        world.writers[0].scripts.append(slow)
+        assert (await world.ask("q-1"))[0] == 200
+        await world.settled()
+        await asyncio.sleep(RELEASE_S)
+        assert len(releases(world.workers)) == 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -163,3 +163,10 @@
     verdict = run.play(Schedule(SHORT.seed, SHORT.faults, SHORT.length_s, SHORT.routers, mutant=mutant))
     assert verdict.requests > 20 and verdict.completed > 10
     assert verdict.invariants == ({"held_state"} if mutant else set()), "\n".join(verdict.timelines)
+
+
+def test_states_of_decodes_that_wait_long_in_their_workers_queues_are_released_on_real_processes():
+    """As in incident 46: the decodes arrive, wait for longer than their states may be held, and are given up."""
+    stuck = [Fault("worker_queue", 0.5, 4.0, workers=[6, 7, 8, 9])]
+    verdict = run.play(Schedule(46, stuck, length_s=4.0, routers=3))
+    assert verdict.completed > 10 and verdict.invariants == set(), "\n".join(verdict.timelines)
