KV states behind attempts that were given up are released, and again until the close was seen

Cause (H1): on_unanswered has a state released beside its unanswered decode. Where the decode did arrive, that DELETE frees nothing, as the protocol says, yet core.let_go forgot the state: behind the decode's end neither module nor core had anything to release. At fault: Core.let_go, which took 'a release was asked for' for 'it is released'. Change: the core keeps the state while a decode is out and releases it once more behind its end; no request is forgotten with a state (Core._forget); the audit counts time from the last outcome, and sees it. KvReleases repeats the release behind an attempt that ended unanswered at 0.8 of ReleaseS, for 1 s and until its worker responded since, 10 s at most, 256 requests at most; never while the request goes on. Ruled out: H2 and H3 (the release beside the decode was sent and heard in each reproduction).

--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -44,7 +44,7 @@
     def __init__(self, log: Any, profile: Any, budget: ConnectionBudget) -> None:
         # one more than there may be in all: a wait for one worker's would not end with ConnectionLimitError
         super().__init__(log, budget.max_open + 1, 0.0, 0.0, budget)
-        self.releases = KvReleases(log, self.workers, self._release_at, self._spawn)
+        self.releases = KvReleases(log, self.workers, self._release_at, self._spawn, self._held_limit_s)
         self.configure(profile)
 
     def configure(self, profile: Any) -> None:
@@ -78,19 +78,30 @@
         """Asks a worker for its load; reported to `core.probed`."""
         self._spawn(self._probe(core, box))
 
+    async def close(self) -> None:
+        """Also the releases that would be repeated."""
+        self.releases.close()
+        await super().close()
+
     def has_releases(self) -> bool:
         """Whether releases are owed or under way."""
         return self.releases.outstanding()
 
     # Releases
     def _attempt_ended(self, core: Any, attempt: Out, end: End) -> None:
-        if attempt.reads and end.outcome not in door.NEVER_RAN:
-            # what it may have left; the worker must see our close before
-            self._owe_release(attempt.life, DELAY_S)
+        may_have_left = attempt.reads and end.outcome not in door.NEVER_RAN
+        unanswered = attempt.first is None and end.outcome not in door.ANSWERED + door.NEVER_RAN
+        if may_have_left:
+            self._owe_release(attempt.life, DELAY_S)  # the worker must see our close before
+        if (may_have_left or unanswered) and not self.closing:
+            self.releases.given_up(attempt.life, attempt.box)
         super()._attempt_ended(core, attempt, end)
         if attempt.life in self.releases.owed:  # it waited for this attempt's end
             asyncio.get_running_loop().call_soon(self.releases.start, attempt.life)
 
+    def _held_limit_s(self) -> float:
+        return float(self.profile.lawbook.let_go_within) / TENTHS
+
     def _owe_release(self, life: Life, delay_s: float) -> None:
         if not self.closing:
             self.releases.owe(life, delay_s)
--- a/ramppulley/engines/platform/releases.py
+++ b/ramppulley/engines/platform/releases.py
@@ -2,13 +2,17 @@
 
 A release is a `DELETE` that any worker takes, and that frees what no attempt waits for. The worker that responded last is
 asked first, so that a holder that died cannot keep what it holds.
+
+An attempt that was given up waits for its state until its worker has seen the close of its connection, which may be late:
+the worker is busy or hangs, or the close is lost on its way. A release that was heard before that freed nothing. So
+releases behind such an attempt are repeated until its worker must have seen the close.
 """
 
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 from ramppulley import door
 from ramppulley.engines.attempts import Worker
@@ -21,6 +25,10 @@
 CAPACITY_TIMEOUT_S = 5.0  # a release waits so long for a connection; those for control calls are soon free
 DELAY_S = 0.02  # from an attempt's closing to the release of what it may have left; also between two calls
 RECENT_RESPONSE_S = 1.0  # a worker that responded within this is asked first
+REPEAT_SHARE = 0.8  # of the time that KV state may be held: from one release to the next behind an attempt given up
+CLOSE_SEEN_WITHIN_S = 1.0  # a worker that responds sees a close within this
+MAX_REPEAT_S = 10.0  # a worker that does not respond is given up after this
+MAX_UNCONFIRMED = 256  # requests with repeated releases; the oldest is dropped for one more
 
 
 class ReleaseResult(StrEnum):
@@ -31,11 +39,18 @@
     NOT_CALLED = "no connection"  # there was none for it
 
 
+class GivenUp(NamedTuple):
+    """The last attempt of a request that was given up: its worker, and when by the clock of the event loop."""
+
+    box: door.Box
+    at: float
+
+
 class KvReleases:
     """The releases of one connector.
 
     `call(box, request_id)` asks one worker; `spawn` runs a task that ends with the connector; `workers` are those that it
-    knows.
+    knows; `held_limit_s()` is how long KV state may be held.
     """
 
     def __init__(
@@ -44,11 +59,15 @@
         workers: dict[door.Box, Worker],
         call: Callable[[door.Box, str], Awaitable[ReleaseResult]],
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+        held_limit_s: Callable[[], float],
     ) -> None:
         self.log, self.workers, self._call, self._spawn = log, workers, call, spawn
+        self._held_limit_s = held_limit_s
         self.last_response: dict[door.Box, float] = {}  # when; the worker that responded longest ago first
         self.owed: dict[Life, float] = {}  # requests whose KV state has to be released, after so many seconds
         self.running: dict[Life, asyncio.Task[None]] = {}
+        self.unconfirmed: dict[Life, GivenUp] = {}  # whose worker may not have seen the close yet, the oldest first
+        self._repeats: dict[Life, asyncio.TimerHandle] = {}
         self.counts: Counter[str] = Counter()  # calls by their result, and releases that nobody took
 
     def record_response(self, box: door.Box) -> None:
@@ -73,6 +92,55 @@
         self.owed[life] = delay_s
         asyncio.get_running_loop().call_soon(self.start, life)
 
+    def given_up(self, life: Life, box: door.Box) -> None:
+        """An attempt that was written has ended without an answer: releases behind it are repeated."""
+        self.unconfirmed.pop(life, None)
+        self.unconfirmed[life] = GivenUp(box, asyncio.get_running_loop().time())
+        if len(self.unconfirmed) > MAX_UNCONFIRMED:
+            self._confirm(next(iter(self.unconfirmed)))
+        self._repeat_later(life)
+
+    def close(self) -> None:
+        """Repeats nothing any more."""
+        for life in list(self.unconfirmed):
+            self._confirm(life)
+
+    def _confirm(self, life: Life) -> None:
+        """No further release is needed for it."""
+        self.unconfirmed.pop(life, None)
+        timer = self._repeats.pop(life, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _repeat_later(self, life: Life) -> None:
+        timer = self._repeats.pop(life, None)
+        if timer is not None:
+            timer.cancel()
+        delay_s = REPEAT_SHARE * self._held_limit_s()
+        self._repeats[life] = asyncio.get_running_loop().call_later(delay_s, self._repeat, life)
+
+    def _repeat(self, life: Life) -> None:
+        """One more release, unless the request goes on: it may wait for another state, and has its own release then."""
+        if life.first is not None:
+            self._confirm(life)  # with the first token all else that was held has gone
+            return
+        busy = bool(life.out) or life.state is not None
+        if not busy:
+            self.counts["repeated"] += 1
+            self.owe(life, 0.0)
+            if self._close_was_seen(self.unconfirmed[life]):
+                self._confirm(life)
+                return
+        self._repeat_later(life)
+
+    def _close_was_seen(self, given_up: GivenUp) -> bool:
+        """Whether the worker of that attempt must have seen its close by now, or never will."""
+        age_s = asyncio.get_running_loop().time() - given_up.at
+        if age_s < CLOSE_SEEN_WITHIN_S:
+            return False
+        responded = self.last_response.get(given_up.box, 0.0) > given_up.at + DELAY_S
+        return responded or given_up.box.state == "gone" or age_s > MAX_REPEAT_S
+
     def start(self, life: Life) -> None:
         """Begins the release that is owed.
 
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -132,17 +132,9 @@
         out.ended, out.end = True, (self.clock.now(), end)
         self.audit.count(Action.ENDED, end.outcome, life.request.name)
         final = life.ending is not None
-        if end.outcome == door.READ:
-            if end.state is not None:
-                life.state, life.held_at, life.held_since = end.state, out.box, self.clock.now()
-                self._note_kv(life, KvStep.HELD)
-        elif end.outcome in (door.NO_STATE, door.SPOILT):
-            self._note_kv(life, KvStep.GONE)
-            if end.outcome == door.SPOILT and life.state is not None:
-                self.connector.release(
-                    life, life.held_at, life.state
-                )  # gone by all that we know; if not, nobody else would
-            life.state = life.held_at = None
+        self._take_state(life, out, end)
+        if end.outcome in door.ANSWERED:
+            life.held_since = self.clock.now()
         if end.usage:
             life.usage = end.usage
             if life.request.weighed:
@@ -156,6 +148,20 @@
             self.moved()
         self._forget(life)
 
+    def _take_state(self, life, out, end):
+        """What an outcome proves of the request's KV state."""
+        if end.outcome == door.READ:
+            if end.state is not None:
+                life.state, life.held_at, life.release_asked = end.state, out.box, False
+                self._note_kv(life, KvStep.HELD)
+        elif end.outcome in (door.NO_STATE, door.SPOILT):
+            self._note_kv(life, KvStep.GONE)
+            if end.outcome == door.SPOILT and life.state is not None:
+                self.connector.release(
+                    life, life.held_at, life.state
+                )  # gone by all that we know; if not, nobody else would
+            life.state = life.held_at = None
+
     def placed(self, life, box, held):
         if held and life.place is not box:
             self.connector.release(life, box, None)  # nobody waits for it any more
@@ -196,11 +202,19 @@
         if life is None:
             return
         if life.state is not None:
-            self._note_kv(life, KvStep.RELEASE_BESIDE if life.out else KvStep.RELEASE)
-            self.connector.release(life, life.held_at, life.state)
-            life.state = life.held_at = None
+            self._release(life)
         self._let_place_go(life)
 
+    def _release(self, life):
+        """Asks for the release of its KV state. A decode that is out, where it arrived, keeps what it waits for: then the
+        state may be held until that has ended, and is released once more."""
+        decode_out = any(not out.reads for out in life.out)
+        self._note_kv(life, KvStep.RELEASE_BESIDE if decode_out else KvStep.RELEASE)
+        self.connector.release(life, life.held_at, life.state)
+        life.release_asked = True
+        if not decode_out:
+            life.state = life.held_at = None
+
     def withdraw(self, slip, send):
         for out in self.lives[slip].out:
             if out.send is send:
@@ -303,9 +317,12 @@
             self.connector.cancel(out)
 
     def _holds_too_long(self, life, now):
-        if life.state is None or self.held_limit is None:
+        """Whether KV state is overdue. A decode that is out may not have arrived; one that did keeps its state, and is none
+        of that once a release was asked for beside it."""
+        if life.state is None or self.held_limit is None or (life.out and life.release_asked):
             return False
-        return now - life.held_since > self.held_limit + HELD_SLACK
+        since = life.held_since if life.out else max(life.held_since, life.outs[-1].end[0])
+        return now - since > self.held_limit + HELD_SLACK
 
     def _let_place_go(self, life):
         if life.place is not None:
@@ -327,6 +344,8 @@
         """After its final answer and its last outcome a question is written down and never heard of again."""
         if life.ending is None or life.out or life.slip not in self.lives:
             return
+        if life.state is not None:  # whatever the module made of it: nobody could release it later
+            self._release(life)
         del self.lives[life.slip]
         life.request.body = None  # the largest part; what else points here may stand till the next collection
         request, ending, used = life.request, life.ending, life.usage
--- a/ramppulley/service/neutral.py
+++ b/ramppulley/service/neutral.py
@@ -130,7 +130,8 @@
     outs: list[Out] = field(default_factory=list)
     state: Any = None  # waiting at `held_at`
     held_at: door.Box | None = None
-    held_since: int = 0
+    held_since: int = 0  # when a worker answered last, that holds it or refused it
+    release_asked: bool = False  # for `state`, beside a decode that is out
     kv_events: list[KvEvent] = field(default_factory=list)
     place: door.Box | None = None
     placed: int | None = None  # when the place was told to be held
