--- /dev/null
+++ b/tests/test_unread_list.py
@@ -0,0 +1,131 @@
+"""Rule 3 on a machine that is short of CPU: what discovery has written counts as told, whether or not it was read."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+from platform_rig import World, question
+from rig import story
+from test_platform_list import readiness
+from test_race_handover import heard_in_order
+
+from ramppulley.engines.connections import MIN_IDLE_S
+from ramppulley.service.neutral import InferenceRequest
+from ramppulley.standin.platform import PlatformList
+from ramppulley.wire import http
+
+
+class WritingList(PlatformList):
+    """Discovery that writes a change at once, in the turn of its caller."""
+
+    def __init__(self):
+        super().__init__()
+        self.transports = []
+
+    async def _serve(self, transport):
+        self.transports.append(transport)
+        await super()._serve(transport)
+
+    def write(self, *entries):
+        self.seq += 1
+        for entry in entries:
+            self.hosts[entry["host"]] = entry
+        line = json.dumps({"seq": self.seq, "whole": False, "hosts": list(entries)}).encode()
+        self.transports[-1].sock.send(http.chunk(line + b"\n"))
+
+
+def request(name):
+    body = http.RequestParser(1 << 18)
+    body.feed(question(name))
+    return InferenceRequest(
+        name,
+        "chat",
+        "chat",
+        0,
+        body.ready.popleft(),
+        40_000,
+        80,
+        max_out=64,
+        session="7f3a",
+        prefix="5c0f",
+        prefix_tokens=40,
+    )
+
+
+def sink():
+    async def piece(data):
+        pass
+
+    return SimpleNamespace(gone=lambda: False, final=lambda ending: None, piece=piece)
+
+
+async def warmed(world):
+    """Connections to all workers are open and idle, so that an attempt begins at once; whom the next request goes to."""
+    assert (await world.ask("q-0"))[0] == 200
+    chosen = next(worker for worker in world.readers if worker.of("POST"))
+    await heard_in_order(world, world.workers)
+    await asyncio.sleep(2 * MIN_IDLE_S)
+    return chosen
+
+
+def test_a_change_that_was_written_is_read_before_an_attempts_first_byte():
+    for health in ("Terminating", "Gone"):
+        change_is_read_before_the_first_byte(health)
+
+
+def change_is_read_before_the_first_byte(health):
+    @story
+    async def told():
+        async with World(readers=3) as world:
+            await world.list.stop()
+            world.list = WritingList()
+            world.list.start()
+            world.list.hosts = {worker.name: world.entry(worker) for worker in world.workers}
+            world.node.watch.move(("127.0.0.1", world.list.listener.port))
+            await world.until(lambda: world.list.watches)
+            chosen = await warmed(world)
+            before = len(chosen.of("POST"))
+            world.list.write(world.entry(chosen, health))
+            world.node.core.take(request("q-1"), sink())  # in the same turn, as behind a turn that took long
+            await world.until(lambda: any(entry[2] == "q-1" for worker in world.writers for entry in worker.of("POST")))
+            assert len(chosen.of("POST")) == before
+            await world.settled()
+
+    told()
+
+
+@story
+async def test_a_start_waits_for_a_discovery_that_is_slow():
+    """The answer comes after 0.9 s; what it tells counts from the first moment of the process."""
+    async with World() as world:
+        await world.stop_router()
+
+        async def slow(transport):
+            await asyncio.sleep(0.9)
+            await transport.send(http.answer_head(200, {"content-type": "application/json"}))
+            await transport.send(http.chunk(json.dumps(world.list.whole()).encode() + b"\n"))
+            await asyncio.sleep(9)
+
+        world.list.fault = slow
+        await world.start_router()
+        while await readiness(world) != 200:
+            await asyncio.sleep(0.02)
+        assert world.node.watch.has_told
+
+
+@story
+async def test_what_the_old_discovery_had_written_before_a_move_is_told():
+    async with World(readers=2) as world:
+        await world.list.stop()
+        world.list = WritingList()
+        world.list.start()
+        world.list.hosts = {worker.name: world.entry(worker) for worker in world.workers}
+        world.node.watch.move(("127.0.0.1", world.list.listener.port))
+        await world.until(lambda: world.list.watches)
+        box = world.node.endpoints.workers.boxes["s-r0"]
+        silent = PlatformList().start()
+        silent.fault = lambda transport: asyncio.sleep(9)
+        world.list.write(world.entry(world.readers[0], "Terminating"))
+        world.node.watch.move(("127.0.0.1", silent.listener.port))
+        assert box.state == "draining"
+        await silent.stop()
