Attempts look at the list's socket before their first byte; a start waits for a slow discovery

At fault: Watch._follow, whose pending receive also takes bytes out of the socket turns before its task sees them. Now the bytes stay in the kernel (ListCall, readable.wait) and are read by the watch's task or by Watch.read_now, which BaseConnector._final_check calls just before the first byte: one system call an attempt. Beside them: Watch.restart reads what the old discovery had written.

--- a/ramppulley/daemon/platform/node.py
+++ b/ramppulley/daemon/platform/node.py
@@ -35,7 +35,7 @@
 from ramppulley.wire.faults import BadMessage
 
 ACCEPT_AFTER_SIGTERM_S = 0.6  # new connections still come for so long
-FIRST_LIST_TIMEOUT_S = 0.5  # a start waits so long for discovery before it is ready by the known list
+FIRST_LIST_TIMEOUT_S = 1.2  # a start waits so long for discovery's answer before it is ready by the known list
 SHUTDOWN_TIMEOUT_S = 600.0  # for requests that were taken; the platform ends the process before that
 
 
@@ -72,6 +72,7 @@
             self._on_update(known)
         self.front = self._make_front()
         self.watch = self._make_watch().start()
+        self.engines.refresh_list = self.watch.read_now
         self.front.start()
         self._listening_since = loop.time()
         self._housekeeping = loop.create_task(
@@ -126,15 +127,17 @@
     def _is_ready(self) -> bool:
         """Whether there is a list to go by, and discovery has told its own, is not there, or has had its time: the known
         list may be old."""
-        waited_s = asyncio.get_running_loop().time() - self._listening_since
-        answered = self.watch.has_told or self.watch.has_failed
-        ready = self.endpoints_known and (answered or waited_s >= FIRST_LIST_TIMEOUT_S)
+        self.watch.read_now()
+        now = asyncio.get_running_loop().time()
+        asked_at = now if self.watch.asked_at is None else self.watch.asked_at
+        answered = self.watch.has_told or self.watch.has_failed or now - asked_at >= FIRST_LIST_TIMEOUT_S
+        ready = self.endpoints_known and answered
         if ready and not self._ready_logged:
             self._ready_logged = True
             self.log.info(
                 "ready",
                 list="told" if self.watch.has_told else "known",
-                after_ms=round(waited_s * 1000),
+                after_ms=round((now - self._listening_since) * 1000),
                 seq=self.endpoints.seq,
             )
         return ready
--- a/ramppulley/engines/attempts.py
+++ b/ramppulley/engines/attempts.py
@@ -98,6 +98,7 @@
         self.workers: dict[door.Box, Worker] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
         self.closing = False
+        self.refresh_list: Callable[[], None] = lambda: None  # reads what discovery has written by now
 
     def set_address(self, box: door.Box, address: Address) -> None:
         """A worker's address. Another one than before closes the old connections; closed ones are replaced by a new pool."""
@@ -242,10 +243,11 @@
 
     def _final_check(self, core: Any, attempt: Out) -> End | None:
         """The End of an attempt that must not begin any more. No wait lies between this and the first byte."""
+        self.refresh_list()
         refusal = permission.may_begin_attempt(
             AttemptFacts(
                 client_gone=attempt.life.sink.gone(),
-                answered=attempt.life.ending is not None,
+                answered=attempt.life.ending is not None or attempt.withdrawn,
                 worker_changed=self._listed_state(attempt.box)
                 != attempt.listed,  # it drains, is gone, began anew or moved
                 window_over=core.window_over(attempt),
--- a/ramppulley/fleet/platform/watch.py
+++ b/ramppulley/fleet/platform/watch.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from typing import NamedTuple, Self
 
-from ramppulley.fleet.platform.json_lines import MAX_TEXT_BYTES, JsonTextSplitter
+from ramppulley.fleet.platform.list_call import ListCall
 from ramppulley.fleet.platform.log_throttle import Log, LogThrottle
 from ramppulley.wire import http, platform
 from ramppulley.wire.faults import BadMessage
-from ramppulley.wire.sockets import Transport, connect
+from ramppulley.wire.sockets import connect
 
 
 class WatchTimeouts(NamedTuple):
@@ -39,32 +39,6 @@
 TIMEOUTS = WatchTimeouts()
 
 
-class ReadingDeadline:
-    """Ends a connection at a time that can be put off; what its peer had sent by then is still read.
-
-    A time-out that cancels the receive loses the bytes that were taken from the socket in the same turn of the loop.
-    """
-
-    def __init__(self, connection: Transport, when: float) -> None:
-        self.connection, self.passed = connection, False
-        self.timer = connection.loop.call_at(when, self._pass)
-
-    def put_off(self, when: float) -> None:
-        """Another deadline in place of this one, unless it has passed."""
-        self.timer.cancel()
-        if not self.passed:
-            self.timer = self.connection.loop.call_at(when, self._pass)
-
-    def clear(self) -> None:
-        """The connection ends otherwise."""
-        self.timer.cancel()
-
-    def _pass(self) -> None:
-        self.passed = True
-        self.connection.shutdown_read()
-        self.connection.shutdown_write()
-
-
 class Watch:
     """Follows discovery at `address` and calls `on_update` for each update.
 
@@ -84,6 +58,8 @@
         self.got_line = False  # whether this call brought a whole line
         self.has_told = False  # whether any call brought an update
         self.has_failed = False  # whether a call has ended without one
+        self.call: ListCall | None = None  # whose answer is being read
+        self.asked_at: float | None = None  # when the last call's request was written, by the clock of the event loop
         self.calls = 0  # of discovery, ever
         self.last_line_at: float | None = None  # by the clock of the event loop
         self.loss_logged, self.loss_lines, self.fault_lines = False, LogThrottle(), LogThrottle()
@@ -102,9 +78,16 @@
     def restart(self) -> None:
         """A new call in place of the one that is out: the whole list comes once more."""
         if self.task:  # else it was stopped
+            self.read_now()  # what was written counts as told
+            self.call = None
             self.task.cancel()
             self.start()
 
+    def read_now(self) -> None:
+        """Takes over what discovery has written by now: it counts as told, however late this process has its turn."""
+        if self.call is not None:
+            self.call.read_now()
+
     async def stop(self) -> None:
         """Ends the call that is out, for good."""
         task, self.task = self.task, None
@@ -152,24 +135,17 @@
 
     async def _follow(self) -> None:
         """One call, till its answer ends. Raises OSError, TimeoutError or BadMessage where that was no ordinary end."""
-        loop = asyncio.get_running_loop()
-        called, parser, texts = loop.time(), http.AnswerParser(MAX_TEXT_BYTES), JsonTextSplitter()
+        first_line_at = asyncio.get_running_loop().time() + TIMEOUTS.first_line_s
         connection = await connect(*self.address, TIMEOUTS.connect_s)
-        deadline = ReadingDeadline(connection, called + TIMEOUTS.first_line_s)
+        call = ListCall(connection, self._on_line, first_line_at, TIMEOUTS.silence_s)
         try:
             await connection.send(self._request())
-            while not parser.done:
-                data = await connection.receive()
-                if not data:
-                    break
-                if self._read(parser, texts, data):
-                    deadline.put_off(loop.time() + TIMEOUTS.silence_s)
+            self.call, self.asked_at = call, asyncio.get_running_loop().time()
+            await call.follow()
         finally:
-            deadline.clear()
-            connection.close()
-            parser.close()
-        if deadline.passed:
-            raise TimeoutError("no whole line in time")
+            if self.call is call:
+                self.call = None
+            call.close()
 
     def _request(self) -> bytes:
         """from=0: the whole list, at once. Any other version may be one of another history (discovery moved, or began
@@ -177,25 +153,6 @@
         host, port = self.address
         return http.request("GET", f"{platform.LIST}?watch=1&from=0", {"host": f"{host}:{port}"})
 
-    def _read(self, parser: http.AnswerParser, texts: JsonTextSplitter, data: bytes) -> bool:
-        """Hands on the lines that are whole with these bytes, also those before a fault; whether there was one."""
-        fault, any_line = None, False
-        try:
-            parser.feed(data)
-        except BadMessage as met:
-            fault = met
-        if parser.status not in (0, 200):
-            raise BadMessage(f"status {parser.status}")
-        for text in texts.feed(parser.take()):
-            self._on_line(text)
-            any_line = True
-        if fault is not None:
-            raise fault
-        if parser.done:
-            for text in texts.end():
-                self._on_line(text)
-        return any_line
-
     def _on_line(self, text: bytes) -> None:
         """A whole line; an empty one tells only that discovery is there."""
         update = platform.parse_update(text) if text else None
