--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -229,7 +229,7 @@
         day(
             [Stream(per_s=24, prompt=(700, 700), beginnings=0, turns=1, answer=(8, 12))],
             Trouble(what="crash", who="reader-0-0", at_s=0.7, for_s=0.3),
-            fleet={"kinds": {"read": {"fall_multiple": 0.4}}},
+            fleet={"readers": 1, "kinds": {"read": {"fall_multiple": 0.4}}},  # all that is read is read by it
             orders={"rules": {"cold_multiple": 0.4}},
         ),
     ),
