--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -217,6 +217,33 @@
     played(told())
 
 
+@pytest.mark.parametrize("answers_after_s", [1.5, 2.6, 3.5, 4.5])
+def test_a_change_is_told_in_time_by_a_discovery_that_answers_each_call_late(answers_after_s):
+    """A crowded discovery can be reached: what it has counts as told 6 s later, however long it takes for one call."""
+
+    async def told():
+        async with Scene() as scene:
+            for i in range(4):
+
+                async def slow(transport):
+                    await asyncio.sleep(answers_after_s)
+                    await transport.send(HEAD)
+                    while True:
+                        await transport.send(http.chunk(json.dumps(scene.list.whole()).encode() + b"\n"))
+                        await asyncio.sleep(1.0)
+
+                scene.list.fault = slow
+                scene.cut()
+                await asyncio.sleep(0.7 * i)
+                assert await scene.changed() < WITHIN, i
+                scene.list.fault = None
+                scene.cut()
+                await scene.asked()
+                await asyncio.sleep(6)
+
+    played(told())
+
+
 @pytest.mark.parametrize("how", ["refused", "never comes up"])
 def test_a_change_is_told_in_time_after_connections_that_were_not_made(how):
     async def told():
