Watch: a call that brings nothing is not given up for the next one

At fault: Watch._follow, whose one bound stood for 'the call is dead' and for 'time for another call'. Now the next call is made beside those that wait (three at most, 5.5 s each), and the first to tell a line is the watch. The sums of the bounds stay, and so does the number of calls: a call that hangs never holds up the next. Change: Watch keeps ListCalls; the call itself, its request and deadline are list_call.py's. Soak: discovery_slow takes up to 2.8 s a line, for 2.5 or 8 s.

--- a/ramppulley/fleet/platform/list_call.py
+++ b/ramppulley/fleet/platform/list_call.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from ramppulley.fleet.platform.json_lines import MAX_TEXT_BYTES, JsonTextSplitter
-from ramppulley.wire import http
+from ramppulley.wire import http, platform
 from ramppulley.wire.faults import BadMessage
-from ramppulley.wire.sockets import Transport
+from ramppulley.wire.sockets import Transport, connect
 
 
 class ReadingDeadline:
@@ -35,62 +36,100 @@
         self.connection.shutdown_write()
 
 
+class CallTimeouts(Protocol):
+    """Bounds of one call, in seconds."""
+
+    @property
+    def connect_s(self) -> float: ...
+    @property
+    def slow_line_s(self) -> float: ...
+    @property
+    def silence_s(self) -> float: ...
+
+
 class ListCall:
-    """The answer to one call. `on_line` gets each whole line, an empty one too; `silence_s`: from one to the next.
+    """One call and its answer. `on_line(call, text)` gets each whole line, an empty one too.
 
     Until it is read, what discovery has written stays in the socket. `read_now` reads it for whoever must know it before
     this call's own task has its turn.
     """
 
-    def __init__(
-        self, connection: Transport, on_line: Callable[[bytes], None], first_line_at: float, silence_s: float
-    ) -> None:
-        self.connection, self.on_line, self.silence_s = connection, on_line, silence_s
-        self.deadline = ReadingDeadline(connection, first_line_at)
+    def __init__(self, address: platform.Address, on_line: Callable[["ListCall", bytes], None]) -> None:
+        self.address, self.on_line = address, on_line
+        self.connection: Transport | None = None  # while there is one
         self.parser, self.texts = http.AnswerParser(MAX_TEXT_BYTES), JsonTextSplitter()
-        self.ended = False  # no further bytes are read
-        self.fault: Exception | None = None  # that ended it, for its own task
+        self.task: asyncio.Task[None] | None = None  # that follows it
+        self.over: asyncio.Future[None] = asyncio.get_running_loop().create_future()  # done once nothing more is read
+        self.reason = ""  # why it is over
+        self._ended = False  # no further bytes are read
+        self._fault: Exception | None = None  # that ended it, for its own task
+        self._deadline: ReadingDeadline | None = None
+        self._silence_s = 0.0
         self._reading = False
 
-    async def follow(self) -> None:
-        """Reads till the answer ends; raises what ended it otherwise."""
-        while not self.ended:
-            await self.connection.readable.wait()
+    async def follow(self, timeouts: CallTimeouts, on_asked: Callable[[], None]) -> None:
+        """Calls, and reads till the answer ends; raises OSError, TimeoutError or BadMessage for any other end."""
+        first_line_at = asyncio.get_running_loop().time() + timeouts.slow_line_s
+        connection = await connect(*self.address, timeouts.connect_s)
+        self._silence_s = timeouts.silence_s
+        self._deadline = ReadingDeadline(connection, first_line_at)
+        self.connection = connection
+        await connection.send(self._request())
+        on_asked()
+        while not self._ended:
+            await connection.readable.wait()
             self.read_now()
-        if self.fault is not None:
-            raise self.fault
-        if self.deadline.passed:
+        if self._fault is not None:
+            raise self._fault
+        if self._deadline.passed:
             raise TimeoutError("no whole line in time")
 
+    def _request(self) -> bytes:
+        """from=0: the whole list, at once. Any other version may be one of another history (discovery moved, or began
+        anew) in which nothing follows it, though all is different."""
+        host, port = self.address
+        return http.request("GET", f"{platform.LIST}?watch=1&from=0", {"host": f"{host}:{port}"})
+
+    def cancel(self) -> None:
+        """It is not needed any more: nothing that it brings is handed on."""
+        self._ended = True
+        if self.task is not None and self.task is not asyncio.current_task():
+            self.task.cancel()
+
     def close(self) -> None:
-        """Ends the call."""
-        self.ended = True
-        self.deadline.clear()
-        self.connection.close()
+        """The end of its task."""
+        self._ended = True
+        if self._deadline is not None:
+            self._deadline.clear()
+        if self.connection is not None:
+            self.connection.close()
         self.parser.close()
+        if not self.over.done():
+            self.over.set_result(None)
 
     def read_now(self) -> None:
         """Takes over all that has been written by now. Raises nothing: a fault is for the call's own task."""
-        if self._reading or self.ended:
+        connection = self.connection
+        if self._reading or self._ended or connection is None:
             return
         self._reading = True
         try:
-            while not self.ended and (data := self.connection.receive_nowait()) is not None:
+            while not self._ended and (data := connection.receive_nowait()) is not None:
                 self._take(data)
         except Exception as fault:  # whoever asks is not to be ended by it
-            self.fault, self.ended = fault, True
+            self._fault, self._ended = fault, True
         finally:
             self._reading = False
-        if self.ended:
-            self.connection.readable.wake()
+        if self._ended:
+            connection.readable.wake()
 
     def _take(self, data: bytes) -> None:
         """The next bytes; b"" at the end."""
         if not data:
-            self.ended = True
-        elif self._parse(data):
-            self.deadline.put_off(asyncio.get_running_loop().time() + self.silence_s)
-        self.ended = self.ended or self.parser.done
+            self._ended = True
+        elif self._parse(data) and self._deadline is not None:
+            self._deadline.put_off(asyncio.get_running_loop().time() + self._silence_s)
+        self._ended = self._ended or self.parser.done
 
     def _parse(self, data: bytes) -> bool:
         """Hands on the lines that are whole with these bytes, also those before a fault; whether there was one."""
@@ -102,11 +141,11 @@
         if self.parser.status not in (0, 200):
             raise BadMessage(f"status {self.parser.status}")
         for text in self.texts.feed(self.parser.take()):
-            self.on_line(text)
+            self.on_line(self, text)
             any_line = True
         if fault is not None:
             raise fault
         if self.parser.done:
             for text in self.texts.end():
-                self.on_line(text)
+                self.on_line(self, text)
         return any_line
--- a/ramppulley/load/soak/discovery.py
+++ b/ramppulley/load/soak/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
 from ramppulley.wire.sockets import Listener, Transport
 
 EMPTY_LINE_S = 2.0
+SLOW_S = (0.5, 1.0, 2.8)  # longer than a router waits before its next call, too
 
 
 class Agent:
@@ -21,6 +23,7 @@
         self.queues: set[asyncio.Queue[dict[str, Any]]] = set()
         self.faults: dict[str, int] = {}
         self.seq = 40
+        self.rng = random.Random(f"agent {router}")
         self.listener = Listener(self._serve).start()
 
     def move(self) -> tuple[Listener, int]:
@@ -75,7 +78,11 @@
         except TimeoutError:
             update = None
         if self.has("discovery_slow"):
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(self.rng.choice(SLOW_S))
+            if update or not queue.empty():  # what came meanwhile is told with it
+                while not queue.empty():
+                    queue.get_nowait()
+                update = self.whole()
         if self.has("discovery_silent"):
             await asyncio.Event().wait()  # this watch has fallen silent for good
         line = json.dumps(update, indent=2).encode() if update else b""
--- a/ramppulley/load/soak/schedule.py
+++ b/ramppulley/load/soak/schedule.py
@@ -158,6 +158,8 @@
         routers = []
     if kind == "discovery_silent":
         length_s = rng.choice((1.5, 3.0, 4.0))
+    if kind == "discovery_slow":
+        length_s = rng.choice((2.5, 8.0))
     return Fault(kind, round(at_s, 3), length_s, sorted(routers), sorted(workers))
 
 
