--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -66,9 +66,9 @@
 
 def no_release() -> None:
     """What is held is never released."""
-    from ramppulley.engines.platform.connector import PlatformConnector
+    from ramppulley.engines.platform.releases import KvReleases
 
-    replace(PlatformConnector, "_owe_release", lambda self, life, delay_s: None)
+    replace(KvReleases, "owe", lambda self, life, delay_s: None)
 
 
 def release_waits() -> None:
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -167,7 +167,7 @@
                     status = (await answer(transport))[0]
                 took_s = asyncio.get_running_loop().time() - begin
                 assert took_s < 0.2 if away == "refuses" else 1.0 < took_s < 1.5  # a slow discovery may still answer
-                assert (await world.ask("q-1", transport))[0] == 200 and not node.watch.got_line
+                assert (await world.ask("q-1", transport))[0] == 200 and node.watch.last_line_at is None
                 transport.close()
                 await node.stop(accept_s=0.0, timeout_s=0.5)
 
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -247,6 +247,33 @@
     told()
 
 
+@story
+async def test_connections_that_the_kernel_accepted_are_served_where_each_turn_of_the_loop_is_late():
+    loop = asyncio.get_running_loop()
+    late = True
+
+    def turn_late():
+        if late:
+            time.sleep(0.06)
+            loop.call_soon(turn_late)
+
+    async def serve(transport):
+        await transport.receive()
+        await transport.send(b"served")
+
+    listener = Listener(serve).start()
+    clients = [Client(listener.port) for _ in range(12)]
+    for client in clients:
+        client.sock.sendall(b"request")
+    turn_late()
+    answers = asyncio.gather(*[client.rest() for client in clients], return_exceptions=True)
+    await listener.stop(20.0)
+    assert await answers == [b"served"] * 12
+    late = False
+    for client in clients:
+        client.sock.close()
+
+
 @story
 async def test_a_connection_that_waits_for_its_room_when_the_listener_stops_is_served():
     first, asked = asyncio.Event(), []
--- a/tests/test_settings_known_workers.py
+++ b/tests/test_settings_known_workers.py
@@ -53,7 +53,7 @@
 @story
 async def test_a_worker_of_a_kind_that_only_the_new_settings_name_becomes_known():
     async with World(settings=kinds(["prefill", "other"], ["read", "write"], [1, 1])) as world:
-        await world.until(lambda: world.node.watch.got_line)
+        await world.until(lambda: world.node.watch.last_line_at is not None)
         assert list(world.node.endpoints.workers.boxes) == ["s-r0"]
         with tempfile.TemporaryDirectory() as folder:
             await sighup(world, Path(folder), NODE_SETTINGS)
