A listener that stops accepts its backlog in one step, and closes its socket in the same step

Cause: _accept_next gives the loop a turn between two connections, also while it stops; with late turns 0.5 s is over before the backlog is, and close() resets the rest. Connections that came between the last accept and the close were reset too.

--- a/ramppulley/load/soak/clients.py
+++ b/ramppulley/load/soak/clients.py
@@ -44,6 +44,7 @@
         self.faults: dict[str, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.count = 0
+        self.new_until = float("inf")  # no new connections come after this
         self.pressing = False  # its router was told to end: clients use what is open as often as they can
         self.held: list[Transport] = []
 
@@ -57,6 +58,14 @@
             await asyncio.sleep(self.rng.expovariate(PRESSING_FACTOR * per_s if self.pressing else per_s))
             self._spawn(self._one())
 
+    def press(self, new_until: float) -> None:
+        """Its router was told to end: new connections come until then, and open ones are used as often as can be."""
+        self.pressing, self.new_until = True, new_until
+
+    def ease(self) -> None:
+        """Its process has ended."""
+        self.pressing, self.new_until = False, float("inf")
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
@@ -99,6 +108,8 @@
                 return transport
             transport.close()
         request.new_connection = True
+        if time.monotonic() > self.new_until:
+            return None
         try:
             return await connect("127.0.0.1", self.port, 1.0)
         except (OSError, TimeoutError):
--- a/ramppulley/load/soak/faults.py
+++ b/ramppulley/load/soak/faults.py
@@ -16,6 +16,7 @@
 
 RUN_BETWEEN_STOPS_S = 0.2
 HOUR_S, STOP_S, SIGNAL_GAP_S, OLD_DISCOVERY_S = 3600.0, 0.15, 0.004, 1.5
+NEW_CONNECTIONS_S = 0.4  # after SIGTERM: "for 0.2 to 0.4 s new connections keep coming"
 KILL_AFTER_TERM_S = min(max(DEADLINES_S), 3.0) + 0.7  # the earliest that the protocol allows
 SERIES = {  # signals in a row, with pauses between them; the parts of one series are drawn anew each time
     "signal_hup_series": (("hup",), (0.004, 0.05, 0.3)),
@@ -179,7 +180,7 @@
             router.signal(signal.SIGKILL)
             self.world.states.excuse(number)
         elif part == "term":
-            self.world.clients[number].pressing = True
+            self.world.clients[number].press(time.monotonic() + NEW_CONNECTIONS_S)
             router.signal(signal.SIGTERM)
 
     async def _stop_for_a_moment(self, number: int) -> None:
@@ -197,7 +198,7 @@
     async def _restart(self, number: int) -> None:
         router = self.world.routers[number]
         await router.wait_end(KILL_AFTER_TERM_S)
-        self.world.clients[number].pressing = False
+        self.world.clients[number].ease()
         if router.life.kill_at is not None:
             self.world.states.excuse(number)
         await asyncio.sleep(0.1)
--- a/ramppulley/wire/sockets.py
+++ b/ramppulley/wire/sockets.py
@@ -13,6 +13,7 @@
 MIN_BUFFER_BYTES, MAX_BUFFER_BYTES = 4 * 1024, 64 * 1024  # a receive that fills its buffer gets a larger one
 LINGER_RESET = b"\x01\0\0\0\0\0\0\0"  # struct linger: on, 0 seconds; a close then sends a reset
 ACCEPT_PAUSE_S = 0.02  # after a failed accept
+MAX_FAILED_ACCEPTS = 16  # in a row, of a listener that stops
 CLOSE_AFTER_EVICTION_TIMEOUT_S = 0.1  # an evicted connection gets so long to close before another is evicted
 BACKLOG_DRAIN_TIMEOUT_S = 0.5  # a listener that stops accepts what waits in its backlog for so long
 
@@ -249,6 +250,7 @@
         self._task_ended: asyncio.Future[None] | None = None
         self._readable: ReadableEvent | None = None
         self._stopping = False
+        self._backlog: list[socket.socket] = []  # accepted as it stopped, and not served yet
 
     def start(self) -> Self:
         """Begins to accept; needs the running loop."""
@@ -271,20 +273,48 @@
 
     async def _accept_next(self, readable: ReadableEvent) -> bool:
         """Accepts one connection, or waits for one; whether there may be more. Raises OSError."""
+        if self._stopping:
+            await self._serve_backlog(readable)
+            return False
         try:
             sock, _ = self.sock.accept()
         except (BlockingIOError, InterruptedError):
-            if self._stopping:
-                return False
             await readable.wait()
             return True
+        await self._serve_or_reject(sock)
+        await asyncio.sleep(0)  # the other tasks' turn, however many connections arrive
+        return True
+
+    async def _serve_backlog(self, readable: ReadableEvent) -> None:
+        """Serves what the kernel has accepted, and closes the listening socket in the same step of this task: a connection
+        that came in between would be reset."""
+        if self.sock.fileno() >= 0:  # else one of them could not be set up, and the rest is left
+            while (sock := self._accept_now()) is not None:
+                self._backlog.append(sock)
+            readable.close()
+            self.sock.close()
+        while self._backlog:
+            await self._serve_or_reject(self._backlog.pop(0))
+
+    def _accept_now(self) -> socket.socket | None:
+        """The next connection of the backlog; None where there is none, or none can be accepted."""
+        for _ in range(MAX_FAILED_ACCEPTS):
+            try:
+                return self.sock.accept()[0]
+            except BlockingIOError:
+                return None
+            except OSError:
+                self.failed_accepts += 1
+                self.free_capacity()
+        return None
+
+    async def _serve_or_reject(self, sock: socket.socket) -> None:
+        """Raises OSError where the socket cannot be set up, which is closed then."""
         if await self._wait_for_capacity():
             self._start_serving(sock)
         else:
             self.rejected += 1
             sock.close()
-        await asyncio.sleep(0)  # the other tasks' turn, however many connections arrive
-        return True
 
     def _start_serving(self, sock: socket.socket) -> None:
         """Raises OSError where the socket cannot be set up, which is closed then."""
@@ -356,3 +386,7 @@
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
         readable.close()
+        for sock in self._backlog:  # there was no capacity for them in time
+            self.rejected += 1
+            sock.close()
+        self._backlog = []
