Failing test: SIGTERM in a start that is tried again ends it with status 2

With SIGTERM after 1 s it ends at once with status 2 and 'cannot listen', which is ours: it was told to end.

--- a/tests/test_system_call_failures.py
+++ b/tests/test_system_call_failures.py
@@ -81,3 +81,20 @@
 
     uvloop.run(told())
     assert started == [2]
+
+
+def test_a_start_that_is_told_to_end_while_its_address_is_in_use_ends_in_order(tmp_path):
+    """A router that ends after SIGTERM has not failed, however far its start had come."""
+
+    async def told():
+        async with World() as world:
+            with socket.create_server(("127.0.0.1", 0)) as occupied:
+                content = world.config() | {"listen": f"127.0.0.1:{occupied.getsockname()[1]}"}
+                path = tmp_path / "config.json"
+                path.write_text(json.dumps(content))
+                running = asyncio.create_task(command.run(str(path), content, world.node.log))
+                await world.until(lambda: "start is tried again" in world.lines.text)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await running
+
+    uvloop.run(told())
