SIGTERM in a start that is tried again ends it in order; the soak's ports are reserved

Cause of the status 2: _start raised on any OSError once it was told to end. It now ends with status 0.

--- a/ramppulley/daemon/platform/command.py
+++ b/ramppulley/daemon/platform/command.py
@@ -60,25 +60,33 @@
     node = Node(content, log)
     loop.add_signal_handler(signal.SIGHUP, node.reload, path)
     try:
-        await _start(node, log, stopping)
+        started = await _start(node, log, stopping)
     except OSError as fault:
         raise ConfigurationError(f"cannot listen on {content['listen']}: {fault.strerror}") from fault
+    if not started:
+        log.info("told to end before it had started")
+        return
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     _collect_only_what_follows()
     await stopping.wait()
     await node.stop()
 
 
-async def _start(node: Node, log: Log, stopping: asyncio.Event) -> None:
-    """Starts the node, again and again where the system is short of something; raises OSError."""
+async def _start(node: Node, log: Log, stopping: asyncio.Event) -> bool:
+    """Starts the node, again and again where the system is short of something; raises OSError.
+
+    False where it was told to end meanwhile: nothing runs then.
+    """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + START_TIMEOUT_S
     while True:
         try:
             await node.start()
-            return
+            return True
         except OSError as fault:
-            if fault.errno in LASTING_ERRNOS or loop.time() > deadline or stopping.is_set():
+            if stopping.is_set():
+                return False
+            if fault.errno in LASTING_ERRNOS or loop.time() > deadline:
                 raise
             log.warning("start is tried again", fault=fault.strerror)
             await asyncio.sleep(START_INTERVAL_S)
--- a/ramppulley/load/routers.py
+++ b/ramppulley/load/routers.py
@@ -4,16 +4,15 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
 
 from ramppulley.daemon.daemon import Daemon
+from ramppulley.load.ports import reserve_port
 from ramppulley.standin.demo import demo_orders
 
 S = 10_000  # tenths of a millisecond in a second
-LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 15
 LOG_TAIL_CHARACTERS = 2000
@@ -25,17 +24,6 @@
     return int(settings["name"][1:])
 
 
-def reserve_port(kind=socket.SOCK_STREAM):
-    """A socket bound to a free port that nobody else is given while it is open: only who names the port may listen there.
-
-    A port that was free a moment ago may be any outgoing connection's by the time that a program binds it.
-    """
-    sock = socket.socket(socket.AF_INET, kind)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((LOOPBACK, 0))
-    return sock
-
-
 class TaskRouter:
     """A router in this process; `make` builds its decision module."""
 
--- a/ramppulley/load/soak/processes.py
+++ b/ramppulley/load/soak/processes.py
@@ -110,7 +110,8 @@
         """Its last lines."""
         if not self.log_path.exists():
             return ""
-        return "\n".join(self.log_path.read_text(errors="replace").splitlines()[-LAST_LINES:])
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return "\n".join([f"({len(lines)} lines in all, the last of them:)", *lines[-LAST_LINES:]])
 
     def log_faults(self) -> list[str]:
         """Lines by which it reports a fault of its own."""
--- a/ramppulley/load/soak/world.py
+++ b/ramppulley/load/soak/world.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from ramppulley.load.ports import reserve_port
 from ramppulley.load.soak.clients import Clients
 from ramppulley.load.soak.crowd import Crowd
 from ramppulley.load.soak.discovery import Agent
@@ -24,22 +25,6 @@
 CROWD_TAIL_S = 60.0  # the crowd ends by itself after so long
 
 
-FIRST_PORT, LAST_PORT = 10_000, 32_000  # below those that the system gives to connections: a restart finds its own free
-
-
-def free_port() -> int:
-    """A port that nobody has now, nor is given while its router is away."""
-    rng = random.SystemRandom()
-    while True:
-        port = rng.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-
-
 class World:
     """All parties of one run."""
 
@@ -54,6 +39,7 @@
         self.routers: list[RouterProcess] = []
         self.clients: list[Clients] = []
         self.other_settings: set[int] = set()
+        self.reserved: list[socket.socket] = []
 
     async def play(self) -> Evidence:
         """The whole run."""
@@ -83,7 +69,8 @@
         for number in range(self.schedule.routers):
             self.agents.append(Agent(number, self.entries, self.evidence))
             shim = Shim(self.folder / f"n{number}.shim", self.library) if self.library else None
-            port = free_port()
+            self.reserved.append(reserve_port())  # while its router is away, nobody else is given its port
+            port = self.reserved[-1].getsockname()[1]
             router = RouterProcess(number, port, self.folder, self.evidence, shim, self.schedule.mutant)
             self.routers.append(router)
             self.clients.append(Clients(number, port, self.schedule.seed, self.evidence))
@@ -153,6 +140,8 @@
         listeners = [listener for worker in self.workers for listener in worker.listeners.values()]
         listeners += [agent.listener for agent in self.agents]
         await asyncio.gather(*[listener.stop() for listener in listeners], return_exceptions=True)
+        for sock in self.reserved:
+            sock.close()
 
     async def _sample(self) -> None:
         """How late this process's loop runs, and what is held."""
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -10,7 +10,7 @@
 from ramppulley.check import rules
 from ramppulley.check.evidence import Asked, Entry, Evidence, Held
 from ramppulley.load.day import Day, Fleet, Stream, Trouble, arrivals
-from ramppulley.load.routers import reserve_port
+from ramppulley.load.ports import reserve_port
 from ramppulley.load.run import play
 from ramppulley.rules import Router
 
