A release that nobody took is repeated; a shutdown waits for repeats; the list is read before the time

It is repeated now as behind an attempt that was given up, 10 s at most. settle waits for repeats too, 1 s at most.

--- a/ramppulley/engines/attempts.py
+++ b/ramppulley/engines/attempts.py
@@ -146,7 +146,7 @@
                 while self.has_releases() or any(life.out for core in cores for life in core.lives.values()):
                     await asyncio.sleep(SETTLE_POLL_S)
         except TimeoutError:
-            self.log.warning("releases that no worker took in time are given up")
+            self.log.warning("releases that no worker took in time, or that might be repeated, are given up")
 
     async def close(self) -> None:
         """Cancels what still runs and closes all connections."""
@@ -243,7 +243,6 @@
 
     def _final_check(self, core: Any, attempt: Out) -> End | None:
         """The End of an attempt that must not begin any more. No wait lies between this and the first byte."""
-        self.refresh_list()
         refusal = permission.may_begin_attempt(
             AttemptFacts(
                 client_gone=attempt.life.sink.gone(),
@@ -291,6 +290,7 @@
             )
             attempt.stage = Stage.QUEUE  # what ends it from here to its first byte says nothing of the worker
             await self._before_first_byte(attempt)
+            self.refresh_list()  # before the time is read: a long list takes some to parse
             attempt.remaining = core.remaining(attempt)
             request = self._build_request(attempt, connections)
             end = self._final_check(core, attempt)
--- a/ramppulley/engines/platform/releases.py
+++ b/ramppulley/engines/platform/releases.py
@@ -40,9 +40,10 @@
 
 
 class GivenUp(NamedTuple):
-    """The last attempt of a request that was given up: its worker, and when by the clock of the event loop."""
+    """Why releases of a request are repeated, and since when by the clock of the event loop: its last attempt was given up
+    at this worker, or nobody took its release."""
 
-    box: door.Box
+    box: door.Box | None
     at: float
 
 
@@ -81,8 +82,8 @@
         self.last_response.pop(box, None)
 
     def outstanding(self) -> bool:
-        """Whether releases are owed or under way."""
-        return bool(self.owed or self.running)
+        """Whether releases are owed, under way or to be repeated."""
+        return bool(self.owed or self.running or self.unconfirmed)
 
     def owe(self, life: Life, delay_s: float) -> None:
         """A release frees all that is held for a request at any worker, also what a later attempt has just left.
@@ -92,8 +93,11 @@
         self.owed[life] = delay_s
         asyncio.get_running_loop().call_soon(self.start, life)
 
-    def given_up(self, life: Life, box: door.Box) -> None:
-        """An attempt that was written has ended without an answer: releases behind it are repeated."""
+    def given_up(self, life: Life, box: door.Box | None) -> None:
+        """An attempt that was written has ended without an answer: releases behind it are repeated.
+
+        Without a worker: nobody took the release.
+        """
         self.unconfirmed.pop(life, None)
         self.unconfirmed[life] = GivenUp(box, asyncio.get_running_loop().time())
         if len(self.unconfirmed) > MAX_UNCONFIRMED:
@@ -136,8 +140,8 @@
     def _close_was_seen(self, given_up: GivenUp) -> bool:
         """Whether the worker of that attempt must have seen its close by now, or never will."""
         age_s = asyncio.get_running_loop().time() - given_up.at
-        if age_s < CLOSE_SEEN_WITHIN_S:
-            return False
+        if given_up.box is None or age_s < CLOSE_SEEN_WITHIN_S:
+            return age_s > MAX_REPEAT_S
         responded = self.last_response.get(given_up.box, 0.0) > given_up.at + DELAY_S
         return responded or given_up.box.state == "gone" or age_s > MAX_REPEAT_S
 
@@ -152,7 +156,7 @@
         )
         facts = ReleaseFacts(life in self.owed, life in self.running, prefill_written)
         if permission.may_release(facts) is None:
-            release = self.run(life.request.name, self.owed.pop(life))
+            release = self._release(life, self.owed.pop(life))
             task = self.running[life] = self._spawn(release)
             task.add_done_callback(lambda _: self.ended(life))
 
@@ -161,6 +165,16 @@
         del self.running[life]
         self.start(life)
 
+    async def _release(self, life: Life, delay_s: float) -> None:
+        """One release; where nobody takes it, it is repeated."""
+        taken = await self.run(life.request.name, delay_s)
+        repeated = self.unconfirmed.get(life)
+        if not taken and repeated is None:
+            self.log.warning("nobody took the release of what is held", question=life.request.name)
+            self.given_up(life, None)
+        elif taken and repeated is not None and repeated.box is None:
+            self._confirm(life)
+
     async def before_first_byte(self, attempt: Out) -> None:
         """An attempt is not written before a release was heard: the KV state that it leaves would go with it."""
         self.start(attempt.life)
@@ -179,8 +193,11 @@
 
         return sorted((box for box in boxes if box in self.workers), key=rank)
 
-    async def run(self, request_id: str, delay_s: float) -> None:
-        """Asks one worker, then two at once, then four: those that responded last may all have been cut off at once."""
+    async def run(self, request_id: str, delay_s: float) -> bool:
+        """Asks one worker, then two at once, then four: those that responded last may all have been cut off at once.
+
+        Whether one took it, or there is none.
+        """
         await asyncio.sleep(delay_s)
         loop = asyncio.get_running_loop()
         asked: set[door.Box] = set()
@@ -190,14 +207,14 @@
             calls += max(1, len(boxes))
             if not boxes:
                 if not asked:
-                    return  # no worker was ever listed
+                    return True  # no worker was ever listed
                 asked.clear()
                 continue
             asked.update(boxes)
             results = await asyncio.gather(*[self._call(box, request_id) for box in boxes])
             self.counts.update(results)
             if ReleaseResult.RELEASED in results:
-                return
+                return True
             if ReleaseResult.NOT_CALLED in results:
                 if loop.time() < deadline:
                     asked -= {box for box, result in zip(boxes, results) if result is ReleaseResult.NOT_CALLED}
@@ -205,4 +222,4 @@
                 await asyncio.sleep(DELAY_S)
             concurrent = min(MAX_CONCURRENT_CALLS, 2 * concurrent)
         self.counts["given up"] += 1
-        self.log.warning("nobody took the release of what is held", question=request_id)
+        return False
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -1,10 +1,13 @@
 """Rule 5 where workers fall silent: what is held is let go within the settings' time, whoever was heard last."""
 
 import asyncio
+from types import SimpleNamespace
 
 from platform_rig import World
 from rig import story
 
+from ramppulley.service.neutral import Life
+
 WITHIN = 0.5  # Specifics.ReleaseS of the rig's settings
 
 
@@ -40,3 +43,19 @@
         await release
         world.yard.discard("q-1")
         assert not late
+
+
+@story
+async def test_a_release_that_nobody_took_is_repeated_until_somebody_does():
+    """A cut that is longer than all calls of one release: what is held has no other end."""
+    async with World() as world:
+        life = Life(SimpleNamespace(name="q-1"), None, None, 0)
+        for worker in world.workers:
+            worker.takes = 5.0
+        world.yard.add("q-1")
+        world.node.engines.release(life, None, "q-1")
+        await world.until(lambda: "nobody took the release" in world.lines.text)
+        for worker in world.workers:
+            worker.takes = 0.0
+        await world.until(lambda: not world.yard, WITHIN + 0.3)
+        await world.until(lambda: not world.node.engines.has_releases())
