--- a/ramppulley/load/soak/discovery.py
+++ b/ramppulley/load/soak/discovery.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -12,7 +11,7 @@
 from ramppulley.wire.sockets import Listener, Transport
 
 EMPTY_LINE_S = 2.0
-SLOW_S = (0.5, 1.0, 2.8)  # longer than a router waits before its next call, too
+SLOW_S = (1.0, 2.8)  # of a slow agent's answers; the second is longer than a router waits before its next call
 
 
 class Agent:
@@ -23,7 +22,7 @@
         self.queues: set[asyncio.Queue[dict[str, Any]]] = set()
         self.faults: dict[str, int] = {}
         self.seq = 40
-        self.rng = random.Random(f"agent {router}")
+        self.slow_s = SLOW_S[router % len(SLOW_S)]
         self.listener = Listener(self._serve).start()
 
     def move(self) -> tuple[Listener, int]:
@@ -78,7 +77,7 @@
         except TimeoutError:
             update = None
         if self.has("discovery_slow"):
-            await asyncio.sleep(self.rng.choice(SLOW_S))
+            await asyncio.sleep(self.slow_s)
             if update or not queue.empty():  # what came meanwhile is told with it
                 while not queue.empty():
                     queue.get_nowait()
--- a/ramppulley/standin/platform_mutants.py
+++ b/ramppulley/standin/platform_mutants.py
@@ -269,6 +269,13 @@
     replace(permission, "may_begin_attempt", for_nobody)
 
 
+def impatient_watch() -> None:
+    """A call of discovery that brought nothing is given up for the next one."""
+    from ramppulley.fleet.platform import watch
+
+    watch.TIMEOUTS = watch.TIMEOUTS._replace(slow_line_s=watch.TIMEOUTS.first_line_s)
+
+
 class Mutant(NamedTuple):
     """A planted fault, and the kinds of faults of a schedule under which it shows."""
 
@@ -298,6 +305,7 @@
     "two_attempts": Mutant(two_attempts, ("worker_slow", "worker_decline")),
     "forgets_state_beside": Mutant(forgets_state_beside, ("worker_queue", "worker_decline")),
     "releases_once": Mutant(releases_once, ("worker_deaf", "worker_queue")),
+    "impatient_watch": Mutant(impatient_watch, ("discovery_slow", "worker_drain")),
     "begins_for_nobody": Mutant(begins_for_nobody, ("client_leave", "system_slow_turns", "worker_half")),
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -171,3 +171,22 @@
     stuck = [Fault("worker_queue", 0.5, 4.0, workers=[6, 7, 8, 9])]
     verdict = run.play(Schedule(46, stuck, length_s=4.0, routers=3))
     assert verdict.completed > 10 and verdict.invariants == set(), "\n".join(verdict.timelines)
+
+
+@pytest.mark.parametrize("mutant", ["", "impatient_watch"])
+def test_drains_that_a_slow_discovery_tells_are_kept_on_real_processes(mutant):
+    """Dozens of attempts at draining workers, where each call of discovery takes longer than a call is waited for."""
+    slow = [Fault("discovery_slow", 0.2, 9.0)]
+    drains = [Fault("worker_drain", 0.8, 8.0, workers=[0, 1, 6, 7])]
+    cut = [Fault("signal_hup", 0.4, 1.0, [0, 1, 2, 3])]  # discovery elsewhere: the watch is made anew
+    verdict = run.play(Schedule(48, slow + drains + cut, length_s=8.5, routers=4, mutant=mutant))
+    assert verdict.completed > 30
+    assert verdict.invariants == ({"drained"} if mutant else set()), "\n".join(verdict.timelines)
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_a_few_schedules_of_few_kinds(seed):
+    drawn = schedule.draw(seed)
+    faults = [fault for fault in drawn.faults if fault.at_s < 4.0]
+    verdict = run.play(Schedule(seed, faults, 5.0, drawn.routers, drawn.requests_per_s, descriptors=drawn.descriptors))
+    assert verdict.completed > 30 and verdict.breaches == [], "\n".join(verdict.timelines)
