--- a/tests/test_held_state_given_up.py
+++ b/tests/test_held_state_given_up.py
@@ -94,3 +94,25 @@
         await world.settled()
         await asyncio.sleep(RELEASE_S)
         assert len(releases(world.workers)) == 1
+
+
+@story
+async def test_a_state_is_released_in_time_where_the_answer_that_declined_its_decode_was_lost():
+    """The decode waited past the release beside it and was declined; its router hears nothing, and goes on waiting."""
+    async with World(settings=NO_PROBES) as world:
+        declined_at = []
+
+        async def decline_unheard(transport):
+            with world.yard.waiting("q-1"):
+                await asyncio.sleep(RELEASE_S + SLACK_S)
+            declined_at.append(time.monotonic())
+            await until_over(transport)
+
+        world.writers[0].scripts.append(decline_unheard)
+        asking = asyncio.create_task(world.ask("q-1", req_kind="lodge", req_deadline_ms="3500"))
+        await world.until(lambda: declined_at)
+        await asyncio.sleep(RELEASE_S + SLACK_S)
+        held = "q-1" in world.yard
+        await asking
+        world.yard.clear()
+        assert not held
