--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -73,6 +73,9 @@
         last = life.outs[-1].end if life.outs else None
         given_up = last is not None and last[1].outcome not in door.ANSWERED
         self._owe_release(life, DELAY_S if given_up else 0.0)
+        decode = next((attempt for attempt in life.out if not attempt.reads), None)
+        if decode is not None and not self.closing:
+            self.releases.given_up(life, decode.box)
 
     def probe(self, core: Any, box: door.Box) -> None:
         """Asks a worker for its load; reported to `core.probed`."""
--- a/ramppulley/engines/platform/releases.py
+++ b/ramppulley/engines/platform/releases.py
@@ -47,6 +47,11 @@
     at: float
 
 
+def _released_beside(life: Life) -> bool:
+    """Whether a decode is out whose state was to be released beside it: its worker may have ended it unheard meanwhile."""
+    return life.release_asked and any(not attempt.reads for attempt in life.out)
+
+
 class KvReleases:
     """The releases of one connector.
 
@@ -96,7 +101,7 @@
     def given_up(self, life: Life, box: door.Box | None) -> None:
         """An attempt that was written has ended without an answer: releases behind it are repeated.
 
-        Without a worker: nobody took the release.
+        Without a worker: nobody took the release. Also for a decode that is still out, once its state was to be released.
         """
         self.unconfirmed.pop(life, None)
         self.unconfirmed[life] = GivenUp(box, asyncio.get_running_loop().time())
@@ -128,11 +133,12 @@
         if life.first is not None:
             self._confirm(life)  # with the first token all else that was held has gone
             return
+        beside = _released_beside(life)
         busy = bool(life.out) or life.state is not None
-        if not busy:
+        if beside or not busy:
             self.counts["repeated"] += 1
             self.owe(life, 0.0)
-            if self._close_was_seen(self.unconfirmed[life]):
+            if not beside and self._close_was_seen(self.unconfirmed[life]):
                 self._confirm(life)
                 return
         self._repeat_later(life)
