--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,8 +8,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from rig import Router, ask_in_turn, fleet, main
 
-LIMITS = {"cores": 1.0, "memory_mb": 128, "sockets": 1024}
-BAD_CLIENTS, BODY_BYTES = 450, 256 * 1024
+LIMITS = {"cores": 1.0, "memory_mb": 96, "sockets": 1024}
+BAD_CLIENTS, BODY_BYTES = 330, 256 * 1024
 REQUESTS, INTERVAL_S, BAD_AFTER_S = 40, 0.15, 2.0
 MEMORY_CHECK_S = 0.01
 
