--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from rig import STREAM_HEAD, Router, ask_in_turn, events_of, fleet, lost_among, main
+from rig import STREAM_HEAD, Clients, Router, ask_in_turn, events_of, fleet, lost_among, main
 
 REQUESTS, INTERVAL_S, DEADLINE_MS = 80, 0.15, 3000  # the usual clients: for 12 s
 SPOILT = f"{12:016x}"  # the request whose stream is spoilt, 1.8 s after the first
@@ -47,15 +47,16 @@
         for worker in workers:
             worker.hook = spoiler(record)
     router = Router(folder, discovery, record)
+    clients = Clients(router.port, record, DEADLINE_MS)
     try:
         router.start()
         await router.ready()
-        answers = await ask_in_turn(router.port, record, REQUESTS, INTERVAL_S, DEADLINE_MS)
+        answers = await ask_in_turn(clients, REQUESTS, INTERVAL_S)
     finally:
         router.stop()
         for worker in workers:
             worker.stop()
-    lost = [answer for answer in lost_among(answers) if answer.name != SPOILT]
+    lost = [answer for answer in lost_among(answers, workers, clients) if answer.name != SPOILT]
     return [f"{answer.name} had no answer 0.55 s after its time ({answer.end})" for answer in lost]
 
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # by the environment that the build of the deploy file has made.
 set -euo pipefail
 cd "$(dirname "$(readlink -f "$0")")"
-../.venv/bin/python - rig.py ./*/case.py <<'CHECK'
+../.venv/bin/python - rig.py bad_clients.py ./*/case.py <<'CHECK'
 import ast
 import sys
 
