A spoilt stream is freed with its attempt: the splitter forgets the error it raised

Cause, as in on the worker's side: `RawEventSplitter.fault` stored the error that `EventStream.feed` raised, whose traceback refers to the stream and by it to the splitter. Change: `PendingError` in wire/faults.py stores an error until it is raised and forgets it then; the parsers and the splitter use it.

--- a/ramppulley/engines/platform/stream.py
+++ b/ramppulley/engines/platform/stream.py
@@ -28,12 +28,11 @@
         Raises BadMessage for corrupt data: after forwarding the events before it if the response has started, else at once.
         """
         events = self.splitter.feed(data)
-        if self.splitter.fault and self.attempt.first_token_at is None:
-            raise self.splitter.fault  # nothing was forwarded yet: another worker can serve the whole response
+        if self.attempt.first_token_at is None:
+            self.splitter.fault.raise_stored()  # nothing was forwarded yet: another worker can serve the whole response
         if events:
             await self._pass_on(events)
-        if self.splitter.fault:
-            raise self.splitter.fault
+        self.splitter.fault.raise_stored()
 
     async def _pass_on(self, events: bytes) -> None:
         self.tail = (self.tail + events)[-MAX_TAIL_BYTES:]
--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -6,13 +6,13 @@
 """
 
 from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any, NoReturn
+from typing import Any, NoReturn, Self
 
 import httptools
 
-from ramppulley.wire.faults import BadMessage, TooLarge
+from ramppulley.wire.faults import BadMessage, PendingError, TooLarge
 
 MAX_HEAD_BYTES, MAX_HEADER_FIELDS = 32 * 1024, 128
 STATUS = {
@@ -63,40 +63,28 @@
 
 class _CallbackParser:
     """Holds an httptools parser that calls back into this object: a reference cycle of some KB. Without `close` it stays in
-    memory until a full garbage collection, which is rare.
+    memory until a full garbage collection, which is rare."""
 
-    The same holds for an error that refers to this object by its traceback, and with it to all that was received. So an
-    error is created where it is found, raised once, and stored nowhere after that.
-    """
-
-    _parser: Any
-    _fault: BadMessage | None
+    def __init__(self, parser_type: Callable[[Self], Any]) -> None:
+        self._parser: Any = parser_type(self)
+        self._fault = PendingError()  # found by a callback, and raised by `feed`
 
     def close(self) -> None:
         """Breaks the reference cycle; nothing can be parsed afterwards."""
         self._parser = None
 
     def _parse(self, data: bytes, upgrade_fault: str) -> None:
-        """Parses bytes; an error is left in `_fault`."""
+        """Parses bytes; stores an error in `_fault`."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fault = BadMessage(upgrade_fault)
+            self._fault.store(BadMessage(upgrade_fault))
         except httptools.HttpParserError as error:
-            self._fault = self._fault or BadMessage(str(error).strip("'\""))
-
-    def _raise_fault(self) -> None:
-        """Raises the error that was found, if there is one."""
-        fault, self._fault = self._fault, None
-        try:
-            if fault is not None:
-                raise fault
-        finally:
-            del fault  # the traceback refers to this frame: a reference cycle otherwise
+            self._fault.store(BadMessage(str(error).strip("'\"")))
 
     def _fail(self, fault: BadMessage) -> NoReturn:
         """To be called from a callback."""
-        self._fault = fault
+        self._fault.store(fault)
         raise _CallbackAborted
 
 
@@ -129,8 +117,7 @@
         self.max_body_bytes, self.begun = max_body_bytes, False  # `begun`: an incomplete request has been fed
         self.ready: deque[Request] = deque()
         self.wants_continue = False
-        self._parser = httptools.HttpRequestParser(self)
-        self._fault = None
+        super().__init__(httptools.HttpRequestParser)
         self._body: list[bytes] = []
         self.on_message_begin()
         self.begun = False
@@ -143,11 +130,11 @@
             self._fed_bytes += len(data)
         self._parse(data, "upgrades are not spoken here")
         # llhttp reports a header field only when it is complete, so an endless one is found by the bytes fed.
-        if not self._fault and self._head.in_head and self._fed_bytes > 2 * MAX_HEAD_BYTES:
-            self._fault = TooLarge(f"the head is over {MAX_HEAD_BYTES} bytes", 431)
+        if self._head.in_head and self._fed_bytes > 2 * MAX_HEAD_BYTES:
+            self._fault.store(TooLarge(f"the head is over {MAX_HEAD_BYTES} bytes", 431))
         if self._fault:
             self.close()
-        self._raise_fault()
+        self._fault.raise_stored()
 
     def close(self) -> None:
         """Also frees what was received."""
@@ -216,8 +203,8 @@
         self.headers: dict[str, str] = {}
         self._body_pieces: list[bytes] = []
         self._waiting_bytes = 0  # of `_body_pieces`
-        self._fault = None
-        self._parser, self._head = httptools.HttpResponseParser(self), _HeadState()
+        self._head = _HeadState()
+        super().__init__(httptools.HttpResponseParser)
 
     def feed(self, data: bytes) -> None:
         """Raises BadMessage or TooLarge."""
@@ -227,10 +214,11 @@
             self._head.size += len(data)
         self._parse(data, "an upgrade was not asked for")
         if self.done and self._fault:
-            self._fault, self.keep_alive = None, False
-        elif not self._fault and self._head.in_head and self._head.size > MAX_HEAD_BYTES:
-            self._fault = TooLarge("the answer's head is too large", 502)
-        self._raise_fault()
+            self._fault.discard()
+            self.keep_alive = False
+        elif self._head.in_head and self._head.size > MAX_HEAD_BYTES:
+            self._fault.store(TooLarge("the answer's head is too large", 502))
+        self._fault.raise_stored()
 
     def take(self) -> bytes:
         """The body bytes that arrived since the last call."""
--- a/ramppulley/wire/sse.py
+++ b/ramppulley/wire/sse.py
@@ -5,7 +5,7 @@
 
 import re
 
-from ramppulley.wire.faults import BadMessage, TooLarge
+from ramppulley.wire.faults import BadMessage, PendingError, TooLarge
 
 DONE = b"[DONE]"
 FIELDS = b"data:", b":", b"event:", b"id:", b"retry:"
@@ -25,13 +25,13 @@
     (b'data: 3\\r\\n\\r\\n', b'\\r\\ndata: 4\\r\\n\\r\\n')
     >>> splitter.last()
     b': x'
-    >>> splitter.feed(b"data: 5\\n\\nnoise\\n\\n"), splitter.fault
-    (b'data: 5\\n\\n', BadMessage('what came in the stream is no event'))
+    >>> splitter.feed(b"data: 5\\n\\nnoise\\n\\n"), bool(splitter.fault)
+    (b'data: 5\\n\\n', True)
     """
 
     def __init__(self, max_event_bytes: int = 64 << 10) -> None:
         self.max_event_bytes, self.rest = max_event_bytes, b""
-        self.fault: BadMessage | None = None
+        self.fault = PendingError()
 
     def feed(self, data: bytes) -> bytes:
         """All events that `data` completes, concatenated, up to a malformed one."""
@@ -39,13 +39,13 @@
         for end in _event_ends(whole):
             event = whole[begin:end].lstrip(b"\r\n")
             if event and not event.startswith(FIELDS):
-                self.fault = BadMessage("what came in the stream is no event")
+                self.fault.store(BadMessage("what came in the stream is no event"))
                 break
             if event:
                 begin = end
         self.rest = whole[begin:]
-        if self.fault is None and len(self.rest) > self.max_event_bytes:
-            self.fault = TooLarge(f"an event is over {self.max_event_bytes} bytes", 502)
+        if len(self.rest) > self.max_event_bytes:
+            self.fault.store(TooLarge(f"an event is over {self.max_event_bytes} bytes", 502))
         return whole[:begin]
 
     def last(self) -> bytes:
--- a/tests/test_refused_memory.py
+++ b/tests/test_refused_memory.py
@@ -12,8 +12,10 @@
 from platform_rig import World, answer, question
 from rig import story
 
+from ramppulley.engines.platform.stream import EventStream
 from ramppulley.fronts.platform import server
 from ramppulley.fronts.platform.server import MAX_BODY_BYTES
+from ramppulley.standin.platform import HEAD
 from ramppulley.wire import http
 from ramppulley.wire.faults import BadMessage
 from ramppulley.wire.sockets import MAX_BUFFER_BYTES
@@ -68,6 +70,30 @@
     assert parser() is None
 
 
+def living(object_type):
+    """The objects of this type that are in memory."""
+    return [found for found in gc.get_objects() if isinstance(found, object_type)]
+
+
+SPOILT_STREAMS = {
+    "an event over the limit": b"data: " + b"x" * (100 << 10),
+    "no event": b"data: 1\n\nnoise\n\n",
+    "no event at all": b"noise\n\n",
+}
+
+
+@pytest.mark.parametrize("name", SPOILT_STREAMS)
+def test_a_spoilt_stream_is_freed_with_its_attempt(name, no_garbage_collection):
+    async def play():
+        async with World() as world:
+            world.writers[0].scripts.append(HEAD + http.chunk(SPOILT_STREAMS[name]))
+            await world.ask("q-1", req_kind="lodge")
+            await world.until(lambda: not world.node.engines.tasks)
+            assert not living(EventStream)
+
+    story(play)()
+
+
 CLIENTS = 20
 
 
