A call to discovery that failed is freed at once, with the list that it read

Seen: with a discovery whose answers are spoilt or cut off, each call stays in memory with up to 2 MB of list until the full collection every 5 s; the watch calls again every 0.05 to 1 s. Cause, as in on discovery's side: `ListCall._fault` and a local variable of `_parse` stored the error that they raised; the task of a cancelled call keeps its error, whose traceback refers to the call, which kept the task (gc.get_referrers: the frames of `follow`). Change: both errors are a `PendingError`; `close` forgets the error and the task.

--- a/ramppulley/fleet/platform/list_call.py
+++ b/ramppulley/fleet/platform/list_call.py
@@ -6,7 +6,7 @@
 
 from ramppulley.fleet.platform.json_lines import MAX_TEXT_BYTES, JsonTextSplitter
 from ramppulley.wire import http, platform
-from ramppulley.wire.faults import BadMessage
+from ramppulley.wire.faults import BadMessage, PendingError
 from ramppulley.wire.sockets import Transport, connect
 
 
@@ -62,7 +62,7 @@
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()  # done once reading has ended
         self.end_reason = ""
         self._ended = False  # set when no further bytes are to be read
-        self._fault: Exception | None = None  # error that ended the call, raised in its own task
+        self._fault = PendingError()  # that ended the call; raised in its own task
         self._deadline: ReadDeadline | None = None
         self._silence_s = 0.0
         self._reading = False  # whether `read_now` is running: `on_line` may lead to another call of it
@@ -79,8 +79,7 @@
         while not self._ended:
             await connection.readable.wait()
             self.read_now()
-        if self._fault is not None:
-            raise self._fault
+        self._fault.raise_stored()
         if self._deadline.expired:
             raise TimeoutError("no complete line before the timeout")
 
@@ -104,6 +103,8 @@
         if self.connection is not None:
             self.connection.close()
         self.parser.close()
+        self._fault.discard()  # a call that was cancelled has not raised it
+        self.task = None  # a cancelled task refers to this call by the traceback of its error
         if not self.finished.done():
             self.finished.set_result(None)
 
@@ -117,7 +118,8 @@
             while not self._ended and (data := connection.receive_nowait()) is not None:
                 self._process(data)
         except Exception as fault:  # the caller must not fail because of it
-            self._fault, self._ended = fault, True
+            self._fault.store(fault)
+            self._ended = True
         finally:
             self._reading = False
         if self._ended:
@@ -133,18 +135,17 @@
 
     def _parse(self, data: bytes) -> bool:
         """Delivers the lines that these bytes complete, also those before an error; returns whether there was one."""
-        fault, got_line = None, False
+        fault, got_line = PendingError(), False
         try:
             self.parser.feed(data)
         except BadMessage as error:
-            fault = error
+            fault.store(error)
         if self.parser.status not in (0, 200):
             raise BadMessage(f"discovery answered with status {self.parser.status}")
         for text in self.texts.feed(self.parser.take()):
             self.on_line(self, text)
             got_line = True
-        if fault is not None:
-            raise fault
+        fault.raise_stored()
         if self.parser.done:
             for text in self.texts.end():
                 self.on_line(self, text)
--- a/tests/test_refused_memory.py
+++ b/tests/test_refused_memory.py
@@ -13,6 +13,7 @@
 from rig import story
 
 from ramppulley.engines.platform.stream import EventStream
+from ramppulley.fleet.platform.list_call import ListCall
 from ramppulley.fronts.platform import server
 from ramppulley.fronts.platform.server import MAX_BODY_BYTES
 from ramppulley.standin.platform import HEAD
@@ -94,6 +95,32 @@
     story(play)()
 
 
+LIST_HEAD = http.response_head(200, {"content-type": "application/json"})
+SPOILT_LISTS = {
+    "a line that is no list": LIST_HEAD + http.chunk(b'{"seq": 1, "hosts": "' + b"x" * (100 << 10) + b'"}\n'),
+    "a line that is no JSON": LIST_HEAD + http.chunk(b"x" * (100 << 10) + b"\n"),
+    "a malformed chunk": LIST_HEAD + http.chunk(b'{"seq": 1') + b"zz\r\n",
+    "another status": http.response(500, {}, b"x" * (100 << 10)),
+}
+
+
+@pytest.mark.parametrize("name", SPOILT_LISTS)
+def test_a_spoilt_list_of_workers_is_freed_with_its_call(name, no_garbage_collection):
+    async def play():
+        async with World() as world:
+            await world.until(lambda: world.list.watches)
+            world.list.fault = lambda transport: transport.send(SPOILT_LISTS[name])
+            calls = world.node.watch.calls
+            world.node.watch.restart()
+            await world.until(lambda: world.node.watch.calls >= calls + 3)
+            world.list.fault = None
+            await world.until(lambda: world.node.watch._active is not None)
+            await asyncio.sleep(0.05)
+            assert len(living(ListCall)) == 1, "spoilt calls are still in memory"
+
+    story(play)()
+
+
 CLIENTS = 20
 
 
