A body takes the memory of its bytes, however small its chunks are

Cause: each chunk was kept as an object of its own (35 bytes and a pointer for two) until the end of the body. Change: both parsers collect the body in a bytearray, whose memory goes back to the system when it is freed.

--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -118,7 +118,7 @@
         self.ready: deque[Request] = deque()
         self.wants_continue = False
         super().__init__(httptools.HttpRequestParser)
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self.on_message_begin()
         self.begun = False
 
@@ -140,11 +140,11 @@
         """Also frees what was received."""
         super().close()
         self.ready.clear()
-        self._head, self._target, self._body = _HeadState(), b"", []
+        self._head, self._target, self._body = _HeadState(), b"", bytearray()
 
     def on_message_begin(self) -> None:
-        self._head, self._target, self._body_bytes, self._fed_bytes = _HeadState(), b"", 0, 0
-        self._body = []
+        self._head, self._target, self._fed_bytes = _HeadState(), b"", 0
+        self._body = bytearray()
         self.begun = True
 
     def on_url(self, url: bytes) -> None:
@@ -171,10 +171,9 @@
         self.wants_continue = headers.get("expect", "").lower() == "100-continue"
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > self.max_body_bytes:
+        self._body += body
+        if len(self._body) > self.max_body_bytes:
             self._fail(TooLarge(f"the body is over {self.max_body_bytes} bytes", 413))
-        self._body.append(body)
 
     def on_message_complete(self) -> None:
         self.ready.append(
@@ -182,11 +181,11 @@
                 self._parser.get_method().decode("ascii"),
                 self._target.decode("latin-1"),
                 self._head.headers,
-                b"".join(self._body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
             )
         )
-        self._body = []  # frees the memory while the request runs and the connection is idle after it
+        self._body = bytearray()  # frees the memory while the request runs and the connection is idle after it
         self.begun = self.wants_continue = False
 
 
@@ -201,8 +200,7 @@
     def __init__(self, max_body_bytes: int) -> None:
         self.max_body_bytes, self.status, self.done, self.keep_alive = max_body_bytes, 0, False, False
         self.headers: dict[str, str] = {}
-        self._body_pieces: list[bytes] = []
-        self._waiting_bytes = 0  # of `_body_pieces`
+        self._body = bytearray()  # that has not been taken
         self._head = _HeadState()
         super().__init__(httptools.HttpResponseParser)
 
@@ -222,8 +220,8 @@
 
     def take(self) -> bytes:
         """The body bytes that arrived since the last call."""
-        whole, self._body_pieces, self._waiting_bytes = b"".join(self._body_pieces), [], 0
-        return whole
+        body, self._body = self._body, bytearray()
+        return bytes(body)
 
     def on_message_begin(self) -> None:
         if self.done:
@@ -249,10 +247,9 @@
     def on_body(self, body: bytes) -> None:
         if self.done:
             return
-        self._waiting_bytes += len(body)
-        if self._waiting_bytes > self.max_body_bytes:
+        self._body += body
+        if len(self._body) > self.max_body_bytes:
             self._fail(TooLarge(f"the answer is over {self.max_body_bytes} bytes", 502))
-        self._body_pieces.append(body)
 
     def on_message_complete(self) -> None:
         if self.status and not self.done:
