Fields of a message are bounded with its trailer, and a repeated field costs its bytes

Cause: each value of a repeated field was joined to all those before it; only names were counted, only in heads of requests, and each interim response began a new count. A request's trailer was merged into its head: it could change its id or host. Change: `_Fields` counts every field and its bytes over the head, interim responses and the trailer against the limits that heads had, joins values once, and drops trailers (RFC 9110, 6.5.1).

--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -14,7 +14,8 @@
 
 from ramppulley.wire.faults import BadMessage, PendingError, TooLarge
 
-MAX_HEAD_BYTES, MAX_HEADER_FIELDS = 32 * 1024, 128
+MAX_HEAD_BYTES, MAX_HEADER_FIELDS = 32 * 1024, 128  # of a message, with its trailer
+FIELD_SEPARATOR_BYTES = 4  # colon, space and the end of the line
 STATUS = {
     200: "OK",
     202: "Accepted",
@@ -88,17 +89,36 @@
         raise _CallbackAborted
 
 
-class _HeadState:
-    """The fields and the size of one message head, for both parsers."""
+class _Fields:
+    """The fields of one message and their size. Those of a trailer are counted and dropped (RFC 9110, section 6.5.1)."""
 
     def __init__(self) -> None:
-        self.headers: dict[str, str] = {}
-        self.size, self.in_head = 0, True
+        self.in_head, self._size, self._count = True, 0, 0
+        self._values: dict[str, list[str]] = {}  # by name in lower case
 
     def add(self, name: bytes, value: bytes) -> None:
-        field_name, field_value = name.decode("latin-1").lower(), value.decode("latin-1").strip()
-        before = self.headers.get(field_name)
-        self.headers[field_name] = field_value if before is None else f"{before}, {field_value}"
+        """Counts a field, and keeps it if it belongs to the head."""
+        self._count += 1
+        self.count_bytes(len(name) + len(value) + FIELD_SEPARATOR_BYTES)
+        if self.in_head:
+            self._values.setdefault(name.decode("latin-1").lower(), []).append(value.decode("latin-1").strip())
+
+    def count_bytes(self, count: int) -> None:
+        """Counts further bytes of the head."""
+        self._size += count
+
+    def over_limit(self) -> bool:
+        """Whether the head and the trailer together are too large. A repeated field counts each time."""
+        return self._size > MAX_HEAD_BYTES or self._count > MAX_HEADER_FIELDS
+
+    def end_head(self) -> dict[str, str]:
+        """The values by name; those of a repeated field are joined. What follows belongs to the trailer."""
+        self.in_head = False
+        return {name: ", ".join(values) for name, values in self._values.items()}
+
+    def drop_interim(self) -> None:
+        """Drops the fields of an interim response; they count toward the limits of the response that follows."""
+        self._values = {}
 
 
 class RequestParser(_CallbackParser):
@@ -119,6 +139,7 @@
         self.wants_continue = False
         super().__init__(httptools.HttpRequestParser)
         self._body = bytearray()
+        self._headers: dict[str, str] = {}
         self.on_message_begin()
         self.begun = False
 
@@ -126,11 +147,11 @@
         """Raises BadMessage, or TooLarge with the status code that fits; the parser is closed then."""
         if data:
             self.begun = True
-        if self._head.in_head:
+        if self._fields.in_head:
             self._fed_bytes += len(data)
         self._parse(data, "upgrades are not spoken here")
         # llhttp reports a header field only when it is complete, so an endless one is found by the bytes fed.
-        if self._head.in_head and self._fed_bytes > 2 * MAX_HEAD_BYTES:
+        if self._fields.in_head and self._fed_bytes > 2 * MAX_HEAD_BYTES:
             self._fault.store(TooLarge(f"the head is over {MAX_HEAD_BYTES} bytes", 431))
         if self._fault:
             self.close()
@@ -140,29 +161,28 @@
         """Also frees what was received."""
         super().close()
         self.ready.clear()
-        self._head, self._target, self._body = _HeadState(), b"", bytearray()
+        self._fields, self._headers, self._target, self._body = _Fields(), {}, b"", bytearray()
 
     def on_message_begin(self) -> None:
-        self._head, self._target, self._fed_bytes = _HeadState(), b"", 0
+        self._fields, self._headers, self._target, self._fed_bytes = _Fields(), {}, b"", 0
         self._body = bytearray()
         self.begun = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
-        self._count_head_bytes(len(url))
+        self._fields.count_bytes(len(url))
+        self._check_fields()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head.add(name, value)
-        self._count_head_bytes(len(name) + len(value) + 4)
+        self._fields.add(name, value)
+        self._check_fields()
 
-    def _count_head_bytes(self, by: int) -> None:
-        self._head.size += by
-        if self._head.size > MAX_HEAD_BYTES or len(self._head.headers) > MAX_HEADER_FIELDS:
+    def _check_fields(self) -> None:
+        if self._fields.over_limit():
             self._fail(TooLarge(f"the head is over {MAX_HEAD_BYTES} bytes or {MAX_HEADER_FIELDS} fields", 431))
 
     def on_headers_complete(self) -> None:
-        self._head.in_head = False
-        headers = self._head.headers
+        headers = self._headers = self._fields.end_head()
         if "host" in headers and "," in headers["host"]:
             self._fail(BadMessage("more than one Host"))
         length = headers.get("content-length", "0")
@@ -180,7 +200,7 @@
             Request(
                 self._parser.get_method().decode("ascii"),
                 self._target.decode("latin-1"),
-                self._head.headers,
+                self._headers,
                 bytes(self._body),
                 self._parser.should_keep_alive(),
             )
@@ -201,20 +221,20 @@
         self.max_body_bytes, self.status, self.done, self.keep_alive = max_body_bytes, 0, False, False
         self.headers: dict[str, str] = {}
         self._body = bytearray()  # that has not been taken
-        self._head = _HeadState()
+        self._fields, self._head_bytes = _Fields(), 0
         super().__init__(httptools.HttpResponseParser)
 
     def feed(self, data: bytes) -> None:
         """Raises BadMessage or TooLarge."""
         if self.done:
             raise BadMessage("bytes after the end of the answer")
-        if self._head.in_head:
-            self._head.size += len(data)
+        if self._fields.in_head:
+            self._head_bytes += len(data)
         self._parse(data, "an upgrade was not asked for")
         if self.done and self._fault:
             self._fault.discard()
             self.keep_alive = False
-        elif self._head.in_head and self._head.size > MAX_HEAD_BYTES:
+        elif self._fields.in_head and self._head_bytes > MAX_HEAD_BYTES:
             self._fault.store(TooLarge("the answer's head is too large", 502))
         self._fault.raise_stored()
 
@@ -228,18 +248,20 @@
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.done:
-            self._head.add(name, value)
+        if self.done:
+            return
+        self._fields.add(name, value)
+        if self._fields.over_limit():
+            self._fail(TooLarge("the answer's head is too large", 502))
 
     def on_headers_complete(self) -> None:
         if self.done:
             return
         status = self._parser.get_status_code()
         if status < 200:  # interim responses: 100 Continue, 103 Early Hints
-            self._head = _HeadState()
+            self._fields.drop_interim()
             return
-        self._head.in_head = False
-        self.status, self.headers = status, self._head.headers
+        self.status, self.headers = status, self._fields.end_head()
         chunked = "chunked" in self.headers.get("transfer-encoding", "").lower()
         if "content-length" not in self.headers and not chunked and status not in (204, 304):
             self._fail(BadMessage("the answer has neither a length nor chunks"))
--- a/tests/test_cost_of_input.py
+++ b/tests/test_cost_of_input.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ramppulley.wire import http
+from ramppulley.wire.faults import TooLarge
 from ramppulley.wire.sockets import MAX_BUFFER_BYTES
 
 BODY_BYTES = 200 << 10
@@ -42,3 +43,51 @@
     pieces = receives(http.chunk(b"x" * chunk_bytes) * (BODY_BYTES // chunk_bytes))
     assert memory_of(parser.feed, pieces) < 1.5 * BODY_BYTES
     parser.close()
+
+
+FIELD = b"a: b\r\n"
+LAST_CHUNK_LINE = b"0\r\n"
+RESPONSE_LINE = b"HTTP/1.1 200 OK\r\n"
+TOO_MANY_FIELDS = {
+    "one name in a head": (http.RequestParser, [b"POST / HTTP/1.1\r\n"]),
+    "one name in a trailer": (http.RequestParser, [CHUNKED_REQUEST, LAST_CHUNK_LINE]),
+    "one name in the head of a response": (http.ResponseParser, [RESPONSE_LINE]),
+    "one name in the trailer of a response": (http.ResponseParser, [CHUNKED_RESPONSE, LAST_CHUNK_LINE]),
+}
+
+
+@pytest.mark.parametrize("name", TOO_MANY_FIELDS)
+def test_a_repeated_field_counts_each_time_and_in_trailers(name):
+    """Guards against repeated fields that are joined anew each time, and trailers without end (incident 0015)."""
+    make, start = TOO_MANY_FIELDS[name]
+    parser = make(256 << 10)
+    for piece in start:
+        parser.feed(piece)
+    parser.feed(FIELD * (http.MAX_HEADER_FIELDS - 3))  # those of the head come on top
+    with pytest.raises(TooLarge):
+        parser.feed(FIELD * 5)  # the last one may still go on
+    parser.close()
+
+
+def test_interim_responses_without_end_are_refused():
+    """Guards against limits that begin anew with each interim response (incident 0015)."""
+    parser, interim = http.ResponseParser(256 << 10), b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"
+    with pytest.raises(TooLarge):
+        for _ in range(http.MAX_HEADER_FIELDS + 1):
+            parser.feed(interim)
+    parser.close()
+
+
+def test_fields_of_a_trailer_are_not_taken_for_fields_of_the_head():
+    parser = http.RequestParser(100)
+    parser.feed(CHUNKED_REQUEST + http.chunk(b"hi") + LAST_CHUNK_LINE + b"req-id: 1\r\nhost: b\r\n\r\n")
+    request = parser.ready.popleft()
+    assert request.body == b"hi" and request.headers == {"host": "a", "transfer-encoding": "chunked"}
+    parser.close()
+
+
+def test_repeated_fields_are_joined_in_their_order():
+    parser = http.RequestParser(100)
+    parser.feed(b"GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\nX: 2\r\nx: 3\r\n\r\n")
+    assert parser.ready.popleft().headers == {"host": "a", "x": "1, 2, 3"}
+    parser.close()
