Bytes without end that bring nothing are refused, wherever they stand in a message

A trailer field costs more with each receive, as httptools joins its pieces anew: one client's 65 MB took 20 s of the loop and kept 62 MB; 131 MB of a worker took 114 s. Cause: only heads had a limit on bytes that complete nothing; llhttp has none. Change: both parsers count the bytes in a row that complete no field and bring nothing of a body, whether in the head, a chunk's size or extension or the trailer, and refuse them beyond 64 KiB; the limit of heads by bytes fed is one case of it. Test: test_bytes_without_end_that_bring_nothing_are_refused, 24 cases, 14 failed before (those behind a head).

--- a/ramppulley/wire/http.py
+++ b/ramppulley/wire/http.py
@@ -16,6 +16,7 @@
 
 MAX_HEAD_BYTES, MAX_HEADER_FIELDS = 32 * 1024, 128  # of a message, with its trailer
 FIELD_SEPARATOR_BYTES = 4  # colon, space and the end of the line
+MAX_FRAMING_BYTES = 64 * 1024  # in a row that complete no field and bring nothing of a body
 STATUS = {
     200: "OK",
     202: "Accepted",
@@ -69,19 +70,27 @@
     def __init__(self, parser_type: Callable[[Self], Any]) -> None:
         self._parser: Any = parser_type(self)
         self._fault = PendingError()  # found by a callback, and raised by `feed`
+        self._progressed, self._framing_bytes = False, 0
 
     def close(self) -> None:
         """Breaks the reference cycle; nothing can be parsed afterwards."""
         self._parser = None
 
     def _parse(self, data: bytes, upgrade_fault: str) -> None:
-        """Parses bytes; stores an error in `_fault`."""
+        """Parses bytes; stores an error in `_fault`.
+
+        llhttp keeps on reading a chunk size, a chunk extension or a field that does not end, and keeps a field's bytes.
+        """
+        self._progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fault.store(BadMessage(upgrade_fault))
         except httptools.HttpParserError as error:
             self._fault.store(BadMessage(str(error).strip("'\"")))
+        self._framing_bytes = 0 if self._progressed else self._framing_bytes + len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fault.store(TooLarge(f"over {MAX_FRAMING_BYTES} bytes without a field or a part of the body", 431))
 
     def _fail(self, fault: BadMessage) -> NoReturn:
         """To be called from a callback."""
@@ -147,12 +156,7 @@
         """Raises BadMessage, or TooLarge with the status code that fits; the parser is closed then."""
         if data:
             self.begun = True
-        if self._fields.in_head:
-            self._fed_bytes += len(data)
         self._parse(data, "upgrades are not spoken here")
-        # llhttp reports a header field only when it is complete, so an endless one is found by the bytes fed.
-        if self._fields.in_head and self._fed_bytes > 2 * MAX_HEAD_BYTES:
-            self._fault.store(TooLarge(f"the head is over {MAX_HEAD_BYTES} bytes", 431))
         if self._fault:
             self.close()
         self._fault.raise_stored()
@@ -164,16 +168,18 @@
         self._fields, self._headers, self._target, self._body = _Fields(), {}, b"", bytearray()
 
     def on_message_begin(self) -> None:
-        self._fields, self._headers, self._target, self._fed_bytes = _Fields(), {}, b"", 0
+        self._fields, self._headers, self._target = _Fields(), {}, b""
         self._body = bytearray()
         self.begun = True
 
     def on_url(self, url: bytes) -> None:
+        self._progressed = True
         self._target += url
         self._fields.count_bytes(len(url))
         self._check_fields()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._progressed = True
         self._fields.add(name, value)
         self._check_fields()
 
@@ -191,11 +197,13 @@
         self.wants_continue = headers.get("expect", "").lower() == "100-continue"
 
     def on_body(self, body: bytes) -> None:
+        self._progressed = True
         self._body += body
         if len(self._body) > self.max_body_bytes:
             self._fail(TooLarge(f"the body is over {self.max_body_bytes} bytes", 413))
 
     def on_message_complete(self) -> None:
+        self._progressed = True
         self.ready.append(
             Request(
                 self._parser.get_method().decode("ascii"),
@@ -250,6 +258,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.done:
             return
+        self._progressed = True
         self._fields.add(name, value)
         if self._fields.over_limit():
             self._fail(TooLarge("the answer's head is too large", 502))
@@ -269,6 +278,7 @@
     def on_body(self, body: bytes) -> None:
         if self.done:
             return
+        self._progressed = True
         self._body += body
         if len(self._body) > self.max_body_bytes:
             self._fail(TooLarge(f"the answer is over {self.max_body_bytes} bytes", 502))
--- a/tests/test_cost_of_input.py
+++ b/tests/test_cost_of_input.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ramppulley.wire import http
-from ramppulley.wire.faults import TooLarge
+from ramppulley.wire.faults import BadMessage, TooLarge
 from ramppulley.wire.sockets import MAX_BUFFER_BYTES
 
 BODY_BYTES = 200 << 10
@@ -91,3 +91,35 @@
     parser.feed(b"GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\nX: 2\r\nx: 3\r\n\r\n")
     assert parser.ready.popleft().headers == {"host": "a", "x": "1, 2, 3"}
     parser.close()
+
+
+CHUNK_BEGUN = b"5\r\nhello"
+REFUSED_WITHIN_BYTES = MAX_BUFFER_BYTES * 4  # a few receives
+ENDLESS = {
+    "line ends before a request": (http.RequestParser, b"", b"\r\n"),
+    "a field of a head": (http.RequestParser, b"POST / HTTP/1.1\r\na: ", b"x"),
+    "a chunk size of zeros": (http.RequestParser, CHUNKED_REQUEST, b"0"),
+    "a chunk extension": (http.RequestParser, CHUNKED_REQUEST + b"5;", b"x"),
+    "a field of a trailer": (http.RequestParser, CHUNKED_REQUEST + LAST_CHUNK_LINE + b"a: ", b"x"),
+    "a field name of a trailer": (http.RequestParser, CHUNKED_REQUEST + LAST_CHUNK_LINE, b"x"),
+    "line ends before a response": (http.ResponseParser, b"", b"\r\n"),
+    "a reason": (http.ResponseParser, b"HTTP/1.1 200 ", b"x"),
+    "a field of a response": (http.ResponseParser, RESPONSE_LINE + b"a: ", b"x"),
+    "a chunk size of zeros in a stream": (http.ResponseParser, CHUNKED_RESPONSE + CHUNK_BEGUN + b"\r\n", b"0"),
+    "a chunk extension in a stream": (http.ResponseParser, CHUNKED_RESPONSE + CHUNK_BEGUN + b"\r\n5;", b"x"),
+    "a field of a stream's trailer": (http.ResponseParser, CHUNKED_RESPONSE + LAST_CHUNK_LINE + b"a: ", b"x"),
+}
+
+
+@pytest.mark.parametrize("receive_bytes", [1000, MAX_BUFFER_BYTES])
+@pytest.mark.parametrize("name", ENDLESS)
+def test_bytes_without_end_that_bring_nothing_are_refused(name, receive_bytes):
+    """Guards against a trailer field without end, 20 s of work for 65 MB of one client (incident 0015)."""
+    make, start, filler = ENDLESS[name]
+    parser, piece = make(256 << 10), filler * (receive_bytes // len(filler))
+    if start:
+        parser.feed(start)
+    with pytest.raises(BadMessage):
+        for _ in range(REFUSED_WITHIN_BYTES // len(piece)):
+            parser.feed(piece)
+    parser.close()
