A stream of line ends costs its bytes: event splitters go on where they stopped

Neither the watch nor a release nor SIGTERM was served meanwhile.

Cause: `RawEventSplitter.feed` took a blank line for the end of an event that is empty, stayed where it was, and so copied and stripped the whole rest anew for each line end; with the next receive it began again from the start of the rest. The limit was checked behind the search.

Change: `_EventBuffer` keeps the bytes and where the search stopped; blank lines before an event are passed once; a whole event is taken from the front of a bytearray. Why it works: each byte is looked at a few times at the most, so a receive of 64 KiB takes milliseconds, and the limit of an event ends the stream with the second one.

--- a/ramppulley/wire/sse.py
+++ b/ramppulley/wire/sse.py
@@ -9,9 +9,53 @@
 
 DONE = b"[DONE]"
 FIELDS = b"data:", b":", b"event:", b"id:", b"retry:"
+LINE_ENDS = re.compile(rb"[\r\n]*")
+MAX_OPEN_LINE_END_BYTES = 2  # at the end of what was received, a part of a blank line
 BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")  # after a line; each of the three sequences ends a line
 
 
+class _EventBuffer:
+    """The bytes of a stream, and the ends of its events.
+
+    It looks at each byte a few times at the most, whatever the bytes are and however they are divided into receives: a
+    search goes on where the last one stopped.
+    """
+
+    def __init__(self) -> None:
+        self.bytes = bytearray()
+        self._first_line = 0  # offset of the present event behind the blank lines before it
+        self._searched = 0  # the blank line behind the present event does not begin before this offset
+
+    def next_event(self) -> tuple[int, int] | None:
+        """Offsets of the next event's first line and of its end, behind the blank line; None if none is whole."""
+        self._first_line = _offset_behind(LINE_ENDS, self.bytes, self._first_line)
+        blank = BLANK_LINE.search(self.bytes, max(self._first_line, self._searched))
+        if blank is None:
+            self._searched = len(self.bytes) - MAX_OPEN_LINE_END_BYTES
+            return None
+        found = self._first_line, blank.end()
+        self._first_line = self._searched = blank.end()
+        return found
+
+    def take(self, end: int) -> bytes:
+        """Removes the bytes up to this offset, and returns them."""
+        taken = bytes(memoryview(self.bytes)[:end])
+        del self.bytes[:end]
+        self._first_line -= end
+        self._searched -= end
+        return taken
+
+    def drop_blank_lines(self) -> None:
+        """Removes the blank lines before the present event."""
+        self.take(self._first_line)
+
+
+def _offset_behind(pattern: re.Pattern[bytes], data: bytearray, offset: int) -> int:
+    """The offset behind what this pattern, which may be empty, matches at `offset`."""
+    match = pattern.match(data, offset)
+    return match.end() if match else offset
+
+
 class RawEventSplitter:
     """Splits a byte stream into whole events, unchanged, so that they can be forwarded.
 
@@ -30,43 +74,37 @@
     """
 
     def __init__(self, max_event_bytes: int = 64 << 10) -> None:
-        self.max_event_bytes, self.rest = max_event_bytes, b""
+        self.max_event_bytes, self._buffer = max_event_bytes, _EventBuffer()
         self.fault = PendingError()
 
+    @property
+    def rest(self) -> bytes:
+        """The bytes of an event that is not whole yet."""
+        return bytes(self._buffer.bytes)
+
     def feed(self, data: bytes) -> bytes:
         """All events that `data` completes, concatenated, up to a malformed one."""
-        whole, begin = self.rest + data if self.rest else data, 0
-        for end in _event_ends(whole):
-            event = whole[begin:end].lstrip(b"\r\n")
-            if event and not event.startswith(FIELDS):
+        buffer, whole_bytes = self._buffer, 0
+        buffer.bytes += data
+        while (event := buffer.next_event()) is not None:
+            first_line, end = event
+            if not buffer.bytes.startswith(FIELDS, first_line):
                 self.fault.store(BadMessage("what came in the stream is no event"))
                 break
-            if event:
-                begin = end
-        self.rest = whole[begin:]
-        if len(self.rest) > self.max_event_bytes:
+            whole_bytes = end
+        events = buffer.take(whole_bytes)
+        if len(buffer.bytes) > self.max_event_bytes:
             self.fault.store(TooLarge(f"an event is over {self.max_event_bytes} bytes", 502))
-        return whole[:begin]
+        return events
 
     def last(self) -> bytes:
         """The remainder at the end of the stream: comments and blank lines. Raises BadMessage if it is part of an event."""
-        if any(line and not line.startswith(b":") for line in self.rest.splitlines()):
+        rest = self._buffer.take(len(self._buffer.bytes))
+        if any(line and not line.startswith(b":") for line in rest.splitlines()):
             raise BadMessage("the stream ended within an event")
-        rest, self.rest = self.rest, b""
         return rest
 
 
-def _event_ends(whole: bytes) -> list[int]:
-    """The end offset of each event in `whole`, after its blank line."""
-    if b"\r" in whole:
-        return [blank.end() for blank in BLANK_LINE.finditer(whole)]
-    ends, found = [], whole.find(b"\n\n")
-    while found >= 0:
-        ends.append(found + 2)
-        found = whole.find(b"\n\n", found + 2)
-    return ends
-
-
 class EventDataSplitter:
     """Splits a byte stream into the data of whole events; a truncated event is never returned.
 
@@ -76,23 +114,34 @@
     """
 
     def __init__(self, max_event_bytes: int = 1 << 20) -> None:
-        self.max_event_bytes, self.rest = max_event_bytes, b""
+        self.max_event_bytes, self._buffer = max_event_bytes, _EventBuffer()
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes of an event that is not whole yet."""
+        return bytes(self._buffer.bytes)
 
     def feed(self, data: bytes) -> list[bytes]:
         """The data of each event that `data` completes; raises TooLarge for one over `max_event_bytes`."""
-        whole = self.rest + data
-        events = BLANK_LINE.split(whole) if b"\r" in whole else whole.split(b"\n\n")
-        self.rest = events.pop()
-        if len(self.rest) > self.max_event_bytes:
-            raise TooLarge(f"an event is over {self.max_event_bytes} bytes", 502)
-        found = []
-        for event in events:
-            lines = [line[5:].removeprefix(b" ") for line in event.splitlines() if line.startswith(b"data:")]
+        buffer, found, whole_bytes = self._buffer, [], 0
+        buffer.bytes += data
+        while (event := buffer.next_event()) is not None:
+            first_line, whole_bytes = event
+            lines = _data_lines(bytes(memoryview(buffer.bytes)[first_line:whole_bytes]))
             if lines:
                 found.append(lines[0] if len(lines) == 1 else b"\n".join(lines))
+        buffer.take(whole_bytes)
+        buffer.drop_blank_lines()
+        if len(buffer.bytes) > self.max_event_bytes:
+            raise TooLarge(f"an event is over {self.max_event_bytes} bytes", 502)
         return found
 
 
+def _data_lines(event: bytes) -> list[bytes]:
+    """The values of an event's data fields."""
+    return [line[5:].removeprefix(b" ") for line in event.splitlines() if line.startswith(b"data:")]
+
+
 def event(data: bytes) -> bytes:
     """One event with this data.
 
--- /dev/null
+++ b/tests/test_bystanders.py
@@ -0,0 +1,68 @@
+"""One peer at a time sends what is costly or never ends; the other clients are served as if it were not there."""
+
+import asyncio
+import time
+
+import pytest
+from platform_rig import World
+from rig import story
+
+from ramppulley.standin.platform import EVENTS, HEAD
+from ramppulley.wire import http
+from ramppulley.wire.sockets import MAX_BUFFER_BYTES
+
+MAX_HELD_S = 0.15  # how long a router may be held up between reading its clock and writing
+BEAT_S = 0.005
+STREAM_BEGUN = HEAD + http.chunk(EVENTS[0])
+LARGE_CHUNK = b"C0000000\r\n"  # a chunk said to have 3 GB
+
+
+async def send_without_end(transport, begin, data):
+    """Sends until the router closes the connection."""
+    try:
+        await transport.send(begin)
+        while True:
+            await transport.send(data)
+    except OSError:
+        pass
+
+
+async def longest_delay_of_loop(until):
+    """How late this loop, and so the router, ran at the most until the future is done, in seconds of its processor time."""
+    longest = 0.0
+    while not until.done():
+        before = time.thread_time()
+        await asyncio.sleep(BEAT_S)
+        longest = max(longest, time.thread_time() - before)
+    return longest
+
+
+SPOILT_STREAMS = {
+    "line feeds": (LARGE_CHUNK, b"\n"),
+    "line ends": (LARGE_CHUNK, b"\r\n"),
+    "one line": (LARGE_CHUNK, b"x"),
+    "a chunk size of zeros": (b"", b"0"),
+    "a chunk extension": (b"5;", b"x"),
+    "a field of a trailer": (b"0\r\na: ", b"x"),
+    "fields of a trailer": (b"0\r\n", b"a: b\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", SPOILT_STREAMS)
+def test_a_stream_that_never_ends_holds_up_nobody_and_is_ended(name):
+    """Guards against a stream of line ends that stopped the router for 9 s (incident 0016)."""
+
+    async def play():
+        async with World(writers=2) as world:
+            begin, filler = SPOILT_STREAMS[name]
+            data = filler * (MAX_BUFFER_BYTES // len(filler))
+            world.writers[0].scripts.append(lambda transport: send_without_end(transport, STREAM_BEGUN + begin, data))
+            world.writers[1].scripts.append(lambda transport: send_without_end(transport, STREAM_BEGUN + begin, data))
+            spoilt = asyncio.create_task(world.ask("q-1", req_kind="lodge"))
+            async with asyncio.timeout(5):
+                delay = await longest_delay_of_loop(spoilt)
+            status, _, _, whole = spoilt.result()
+            assert status != 200 or not whole  # its client sees that it is not whole
+            assert delay < MAX_HELD_S
+
+    story(play)()
--- a/tests/test_cost_of_input.py
+++ b/tests/test_cost_of_input.py
@@ -1,11 +1,12 @@
 """What received bytes cost: memory and work in proportion to the bytes, however a peer divides or repeats them."""
 
 import gc
+import time
 import tracemalloc
 
 import pytest
 
-from ramppulley.wire import http
+from ramppulley.wire import http, sse
 from ramppulley.wire.faults import BadMessage, TooLarge
 from ramppulley.wire.sockets import MAX_BUFFER_BYTES
 
@@ -123,3 +124,50 @@
         for _ in range(REFUSED_WITHIN_BYTES // len(piece)):
             parser.feed(piece)
     parser.close()
+
+
+MAX_HELD_S = 0.15  # how long a router may be held up between reading its clock and writing
+SPLITTERS = {"raw": sse.RawEventSplitter, "data": sse.EventDataSplitter}
+STREAMS = {
+    "line feeds": b"\n",
+    "line ends": b"\r\n",
+    "carriage returns": b"\r",
+    "one line": b"x",
+    "empty comments": b":\n\n",
+    "fields without data": b"id\n",
+}
+
+
+def seconds_to_feed(splitter, pieces):
+    """Processor time to feed these pieces, up to an error; the longest of a single feed, and all of them."""
+    longest, begun = 0.0, time.thread_time()
+    for piece in pieces:
+        before = time.thread_time()
+        try:
+            splitter.feed(piece)
+        except BadMessage:
+            break
+        longest = max(longest, time.thread_time() - before)
+    return longest, time.thread_time() - begun
+
+
+@pytest.mark.parametrize("stream", STREAMS)
+@pytest.mark.parametrize("name", SPLITTERS)
+def test_no_receive_of_a_stream_holds_the_loop(name, stream):
+    """Guards against a stream of line ends that held the loop for 9 s (incident 0016)."""
+    pieces = [STREAMS[stream] * (MAX_BUFFER_BYTES // len(STREAMS[stream]))] * 4
+    assert seconds_to_feed(SPLITTERS[name](), pieces)[0] < MAX_HELD_S
+
+
+@pytest.mark.parametrize("receive_bytes", [50, 4096])
+@pytest.mark.parametrize("stream", STREAMS)
+@pytest.mark.parametrize("name", SPLITTERS)
+def test_a_stream_of_sixteen_times_the_bytes_takes_about_sixteen_times_the_work(name, stream, receive_bytes):
+    """Guards against a search that begins anew with each receive: sixteen times the bytes took 256 times the work (0016)."""
+
+    def seconds(count):
+        data = STREAMS[stream] * (count // len(STREAMS[stream]))
+        pieces = [data[begin : begin + receive_bytes] for begin in range(0, len(data), receive_bytes)]
+        return min(seconds_to_feed(SPLITTERS[name](1 << 20), pieces)[1] for _ in range(3))
+
+    assert seconds(16 * 16_000) < 64 * seconds(16_000) + 0.001
