A list of workers takes the memory of its bytes, and empty lines within it count

Cause: `JsonTextSplitter` kept each line and each receive as an object, and counted no line ends toward its limit. Change: a bytearray each for the text and the open line; line ends count.

--- a/ramppulley/fleet/platform/json_lines.py
+++ b/ramppulley/fleet/platform/json_lines.py
@@ -15,35 +15,46 @@
     """Turns response bytes into complete JSON texts, with an empty text for each empty line. Texts may be indented."""
 
     def __init__(self) -> None:
-        self.lines: list[bytes] = []  # of the incomplete text
-        self.pieces: list[bytes] = []  # of the incomplete line
-        self.size, self.depth = 0, 0  # bytes of the text; open brackets after its last complete line
+        self._text = bytearray()  # the complete lines of the incomplete text, without indentation
+        self._line = bytearray()  # the incomplete line
+        self._received_bytes, self._depth = 0, 0  # of the text; open brackets after its last complete line
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Yields the texts that these bytes complete; raises TooLarge."""
-        for number, piece in enumerate(data.split(b"\n")):
-            if number and (text := self._end_line()) is not None:
+        first, *others = data.split(b"\n")
+        self._add(first)
+        for piece in others:
+            self._received_bytes += 1  # the end of the line before
+            if (text := self._end_line()) is not None:
                 yield text
-            self.pieces.append(piece)
-            self.size += len(piece)
-        if self.size > MAX_TEXT_BYTES:
+            self._add(piece)
+        if self._received_bytes > MAX_TEXT_BYTES:
             raise TooLarge("an update of the list is too large")
 
     def end(self) -> Iterator[bytes]:
         """Yields the last text of a complete response, which needs no line end."""
-        if b"".join(self.pieces).strip():
+        if self._line.strip():
             yield from self.feed(b"\n")
 
+    def _add(self, piece: bytes) -> None:
+        self._line += piece
+        self._received_bytes += len(piece)
+
     def _end_line(self) -> bytes | None:
         """Returns the text if this line completes it, else None."""
-        line = b"".join(self.pieces).strip()
-        without_strings = STRING.sub(b"", line)
-        self.depth += without_strings.count(b"{") + without_strings.count(b"[")
-        self.depth -= without_strings.count(b"}") + without_strings.count(b"]")
-        self.lines.append(line)
-        self.pieces = []
-        if self.depth > 0:
+        line = bytes(self._line).strip()
+        self._line = bytearray()
+        self._text += line
+        self._depth += _opened_brackets(line)
+        if self._depth > 0:
             return None
-        text = b"".join(self.lines)
-        self.lines, self.size, self.depth = [], 0, 0
+        text = bytes(self._text)
+        self._text, self._received_bytes, self._depth = bytearray(), 0, 0
         return text
+
+
+def _opened_brackets(line: bytes) -> int:
+    """How many brackets a line of JSON opens, less those that it closes."""
+    without_strings = STRING.sub(b"", line)
+    opened = without_strings.count(b"{") + without_strings.count(b"[")
+    return opened - without_strings.count(b"}") - without_strings.count(b"]")
--- a/tests/test_cost_of_input.py
+++ b/tests/test_cost_of_input.py
@@ -6,11 +6,12 @@
 
 import pytest
 
+from ramppulley.fleet.platform.json_lines import MAX_TEXT_BYTES, JsonTextSplitter
 from ramppulley.wire import http, sse
 from ramppulley.wire.faults import BadMessage, TooLarge
 from ramppulley.wire.sockets import MAX_BUFFER_BYTES
 
-BODY_BYTES = 200 << 10
+BODY_BYTES, LIST_BYTES = 200 << 10, 200 << 10
 CHUNKED_REQUEST = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 CHUNKED_RESPONSE = b"HTTP/1.1 202 Accepted\r\ntransfer-encoding: chunked\r\n\r\n"
 PARSERS = {"request": (http.RequestParser, CHUNKED_REQUEST), "response": (http.ResponseParser, CHUNKED_RESPONSE)}
@@ -171,3 +172,30 @@
         return min(seconds_to_feed(SPLITTERS[name](1 << 20), pieces)[1] for _ in range(3))
 
     assert seconds(16 * 16_000) < 64 * seconds(16_000) + 0.001
+
+
+LISTS = {
+    "empty lines": b"\n",
+    "lines of a character": b"x\n",
+    "spaces": b" ",
+    "lines of spaces": b" \n",
+    "one string": b"x",
+}
+
+
+@pytest.mark.parametrize("receive_bytes", [2, MAX_BUFFER_BYTES])
+@pytest.mark.parametrize("name", LISTS)
+def test_a_list_of_workers_that_never_ends_is_refused_and_takes_the_memory_of_its_bytes(name, receive_bytes):
+    """Guards against empty lines within a text, which counted nothing and were kept without end (incident 0015)."""
+    splitter = JsonTextSplitter()
+    piece = LISTS[name] * max(1, receive_bytes // len(LISTS[name]))
+
+    def feed(data):
+        assert not list(splitter.feed(data))
+
+    feed(b'{"hosts":[')
+    bounded = [piece] * (LIST_BYTES // len(piece))
+    assert memory_of(feed, bounded) < 1.5 * LIST_BYTES
+    with pytest.raises(TooLarge):
+        for _ in range(MAX_TEXT_BYTES // len(piece)):
+            feed(piece)
