--- a/tests/test_cost_of_input.py
+++ b/tests/test_cost_of_input.py
@@ -199,3 +199,11 @@
     with pytest.raises(TooLarge):
         for _ in range(MAX_TEXT_BYTES // len(piece)):
             feed(piece)
+
+
+def test_requests_that_come_together_take_the_memory_of_their_bytes():
+    """Requests behind the first one are kept parsed, as several times their bytes, for as long as the first one takes."""
+    parser = http.RequestParser(256 << 10)
+    pieces = receives(b"GET /-/ready HTTP/1.1\r\nhost: a\r\n\r\n" * 1900)
+    assert memory_of(parser.feed, pieces) < 1.5 * MAX_BUFFER_BYTES
+    parser.close()
