Tests of refused clients: all linger at once, on a busy machine as well

Twenty refused clients had to linger within 0.4 s; beside many busy processes that may fail for the test's own slowness. The linger time is 30 s in the test now, and all twenty have to be there (more than half before): as strict, the bound of 128 KiB each is unchanged. The line about test_bystanders says what it measures.

--- a/tests/test_bystanders.py
+++ b/tests/test_bystanders.py
@@ -1,4 +1,4 @@
-"""One peer at a time sends what is costly or never ends; the other clients are served as if it were not there."""
+"""A peer that sends what is costly or never ends does not hold the event loop, and with it all other clients."""
 
 import asyncio
 import time
--- a/tests/test_refused_memory.py
+++ b/tests/test_refused_memory.py
@@ -14,6 +14,7 @@
 
 from ramppulley.engines.platform.stream import EventStream
 from ramppulley.fleet.platform.list_call import ListCall
+from ramppulley.fronts import client_connection
 from ramppulley.fronts.platform import server
 from ramppulley.fronts.platform.server import MAX_BODY_BYTES
 from ramppulley.standin.platform import HEAD
@@ -144,6 +145,7 @@
 @pytest.mark.parametrize("name", REFUSED_CLIENTS)
 def test_the_body_of_a_refused_client_is_freed_before_its_connection_ends(name, monkeypatch):
     monkeypatch.setattr(server, "FIRST_REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 30.0)  # all linger at once, on a busy machine as well
     story(lambda: assert_bodies_are_freed(*REFUSED_CLIENTS[name]))()
 
 
@@ -156,7 +158,7 @@
         tracemalloc.start()
         try:
             transports = await asyncio.gather(*[send_until_refused(world, data, status) for _ in range(CLIENTS)])
-            assert len(world.node.front.lingering_connections) > CLIENTS // 2  # most have not ended yet
+            assert len(world.node.front.lingering_connections) == CLIENTS
             kept = tracemalloc.get_traced_memory()[0] / CLIENTS
         finally:
             tracemalloc.stop()
