--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,90 @@
+"""A zone of a large fleet comes back cold: the router stands still, and requests get their final answer too late."""
+
+import asyncio
+import random
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from stand2 import BROKEN, HELD, TROUBLE, CannotRun, Clients, Discovery, Router, States, Worker, run_case, settings
+
+WORKERS = 3200  # the pages: 3,200 at most
+ZONES = ["kelder", "zolder"]  # two server rooms, as at vvg-vaarhulp
+RATE, BEFORE_S, LOST_S, AFTER_S = 40.0, 70.0, 5.0, 8.0  # "some tens of requests a second"; "a zone is lost for 5 s"
+LITTLE_MS, USUAL_MS = 150, 6000  # one in two requests has very little time left
+LATE_S = 0.55  # "up to half a second after its time it only earns nothing", and 50 ms on sockets
+
+
+async def watch_own_lag(lag):
+    """The most that this process itself was late; it does not count against the router."""
+    while True:
+        due = time.monotonic() + 0.01
+        await asyncio.sleep(0.01)
+        lag[0] = max(lag[0], time.monotonic() - due)
+
+
+async def case(record):
+    states = States(lambda *words: None)
+    workers = [
+        Worker(f"s-{i:04x}", ("read", "write")[i % 2], ZONES[i // 5 % 2], i // 5, states, record, quiet=True)
+        for i in range(WORKERS)
+    ]
+    for worker in workers:
+        await worker.start()
+    discovery = await Discovery(workers, record).start()
+    router = Router(record, settings(Azs=ZONES), discovery.port, memory_mb=2048)
+    lost_zone, asked, answers, lag = [w for w in workers if w.zone == ZONES[1]], set(), [], [0.0]
+    try:
+        await router.start()
+        clients, draw = Clients(router, record), random.Random(7)
+        sessions = [f"{draw.getrandbits(64):016x}" for _ in range(300)]
+        began, sent, step = time.monotonic(), 0, 0
+        lag_watch = asyncio.create_task(watch_own_lag(lag))
+        while (now := time.monotonic() - began) < BEFORE_S + LOST_S + AFTER_S:
+            if TROUBLE and step == 0 and now >= BEFORE_S:
+                step = 1
+                record("zone", ZONES[1], "is lost:", len(lost_zone), "workers")
+                for worker in lost_zone:
+                    worker.running.clear()
+            if TROUBLE and step == 1 and now >= BEFORE_S + LOST_S:
+                step, lag[0] = 2, 0.0
+                record("zone", ZONES[1], "is back, cold")
+                for worker in lost_zone:
+                    worker.come_back()
+                discovery.tell(lost_zone, "back, with a new start")
+            deadline_ms = LITTLE_MS if sent % 2 else USUAL_MS
+            extra = "prompt_len=1500,max_out=200,prefix=5c0f6e1a2b3d4c59,prefix_len=1200"
+            ask = clients.ask(
+                f"{sent:016x}", "lookup", draw.choice(sessions), deadline_ms, extra, b"{}", deadline_ms / 1000 + 5
+            )
+            task = asyncio.create_task(ask)
+            task.deadline_s, task.sent_at = deadline_ms / 1000, now
+            asked.add(task)
+            task.add_done_callback(lambda task: (asked.discard(task), answers.append(task)))
+            sent += 1
+            await asyncio.sleep(max(0.0, began + sent / RATE - time.monotonic()))
+            if router.process.returncode is not None:
+                raise CannotRun(f"the router ended: {router.log()[-300:]}")
+        if asked:
+            await asyncio.wait(set(asked), timeout=12)
+        lag_watch.cancel()
+        record(f"this process was {lag[0] * 1000:.0f} ms late at most since the zone was back")
+        lost = []
+        for task in answers:
+            answer = task.result()
+            late_s = None if answer.at is None else answer.at - task.deadline_s
+            if late_s is None or late_s > LATE_S + lag[0]:
+                lost.append(answer.name)
+                seen = "got no answer" if late_s is None else f"got its {answer.status} {late_s:.3f} s after its time"
+                record("lost:", answer.name, f"sent at {task.sent_at:.3f} s of the run", seen)
+        worst = max((t.result().at - t.deadline_s for t in answers if t.result().at is not None), default=0.0)
+        served = sum(t.result().status == 200 and t.result().whole for t in answers)
+        record(f"sent {sent}, served {served}, lost {len(lost)}; latest answer {worst:.3f} s after its time")
+        clients.close()
+        return BROKEN if lost else HELD
+    finally:
+        await router.end()
+
+
+run_case(Path(__file__).parent, case)
