--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,6 +14,7 @@
 RATE, BEFORE_S, LOST_S, AFTER_S = 40.0, 70.0, 5.0, 8.0  # "some tens of requests a second"; "a zone is lost for 5 s"
 LITTLE_MS, USUAL_MS = 150, 6000  # one in two requests has very little time left
 LATE_S = 0.55  # "up to half a second after its time it only earns nothing", and 50 ms on sockets
+END_LATE_S = 1.05  # "passing on its end a second late loses it too", and 50 ms
 
 
 async def watch_own_lag(lag):
@@ -78,6 +79,12 @@
                 lost.append(answer.name)
                 seen = "got no answer" if late_s is None else f"got its {answer.status} {late_s:.3f} s after its time"
                 record("lost:", answer.name, f"sent at {task.sent_at:.3f} s of the run", seen)
+        ended = {name: at for worker in workers for name, at in worker.ended.items()}
+        for task in answers:
+            answer = task.result()
+            if answer.whole and answer.status == 200 and answer.ended_at - ended[answer.name] > END_LATE_S + lag[0]:
+                lost.append(answer.name)
+                record("lost:", answer.name, f"its stream's end came {answer.ended_at - ended[answer.name]:.3f} s late")
         worst = max((t.result().at - t.deadline_s for t in answers if t.result().at is not None), default=0.0)
         served = sum(t.result().status == 200 and t.result().whole for t in answers)
         record(f"sent {sent}, served {served}, lost {len(lost)}; latest answer {worst:.3f} s after its time")
--- a/review/stand2.py
+++ b/review/stand2.py
@@ -173,7 +173,7 @@
         self.born_ms, self.health, self.running = 0, "Ready", asyncio.Event()
         self.running.set()
         self.read_s, self.first_s, self.events, self.gap_s = 0.06, 0.03, 4, 0.05
-        self.posts, self.waiting, self.connections, self.begun = 0, 0, {}, []
+        self.posts, self.waiting, self.connections, self.begun, self.ended = 0, 0, {}, [], {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, 0, limit=1 << 19)
@@ -264,6 +264,7 @@
             await self.running.wait()
         usage = {"prompt_tokens": 100, "completion_tokens": 4, "prompt_tokens_details": {"cached_tokens": 0}}
         writer.write(chunk(f"data: {json.dumps({'choices': [], 'usage': usage})}\n\n".encode()))
+        self.ended[name] = time.monotonic()
         writer.write(chunk(b"data: [DONE]\n\n") + LAST_CHUNK)
 
 
@@ -500,6 +501,7 @@
 
     def __init__(self, name):
         self.name, self.status, self.body, self.whole, self.at, self.error = name, 0, b"", False, None, ""
+        self.ended_at = None  # on this process's clock
 
 
 class Clients:
@@ -555,7 +557,7 @@
                     answer.body += (await reader.readexactly(size + 2))[:-2]
                 await reader.readexactly(2)
             answer.whole, keep = True, fields.get("connection", "").lower() != "close"
-            answer.ended = time.monotonic() - sent_at
+            answer.ended_at = time.monotonic()
         except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
             answer.error = type(fault).__name__
         finally:
