--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,6 @@
-"""Bad clients by hundreds, each with a body that it does not finish: the router's memory goes over its limit."""
+"""A spoilt stream that never ends: a chunk said to have 3 GB keeps coming, and holds nothing but comments."""
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
@@ -11,6 +10,7 @@
     BROKEN,
     HELD,
     HOST,
+    STREAM_HEAD,
     TROUBLE,
     CannotRun,
     Clients,
@@ -18,88 +18,103 @@
     Router,
     States,
     Worker,
+    chunk,
+    event,
     message,
     run_case,
     settings,
 )
 
-MEMORY_MB, SOCKETS = 128, 1024  # DAYS: "32 to 192 MB by language and day, and 256 to 1,024 descriptors"
-BAD_CLIENTS, BODY_BYTES = 500, 256 * 1024  # "connect by hundreds"; "a body holds at most 256 KiB"
-BEFORE_S, TROUBLE_S, RATE = 3.0, 12.0, 10.0
+SPOILT_S, GAP_S = 60.0, 0.25  # the worker goes on for so long; a comment every so often
+BOUND_S = 5.0 + 0.05 + 1.0  # "within 5 s", 50 ms on sockets, and 1 s to be on the safe side
+COMMENT = b": still working\n\n"
 
 
-async def bad_client(router, number, until, counts):
-    """Sends all of a request but its last 100 bytes, and stays; after its error, the same again."""
-    while time.monotonic() < until:
-        writer = None
-        try:
-            reader, writer = await asyncio.open_connection(HOST, router.port)
-            fields = {
-                "host": "origin.svc",
-                "req-id": f"bad{number}-{time.monotonic_ns()}",
-                "req-kind": "lookup",
-                "req-key": f"bad{number}",
-                "req-deadline-ms": 7500,
-                "req-extra": "prompt_len=65000,max_out=400",
-            }
-            writer.write(message("POST /v1/chat/completions HTTP/1.1", fields, b"x" * BODY_BYTES)[:-100])
-            async with asyncio.timeout(10):
-                first_line = await reader.readline()
-            counts[first_line[:12].decode("latin-1") or "closed"] = counts.get(first_line[:12].decode("latin-1") or "closed", 0) + 1
-        except (OSError, TimeoutError):
-            counts["no answer"] = counts.get("no answer", 0) + 1
-            await asyncio.sleep(0.05)
-        finally:
-            if writer is not None:
-                writer.close()
+class Writer(Worker):
+    """A writer whose streams are spoilt after two events, if it is told so."""
+
+    spoils, spoilt_at = False, None
+
+    async def write(self, name, writer):
+        if not self.spoils or name not in self.states.held:
+            await super().write(name, writer)
+            return
+        self.states.take(name)
+        self.record(self.name, "runs", name)
+        writer.write(STREAM_HEAD + chunk(event(name, 0)) + chunk(event(name, 1)))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        self.spoilt_at = time.monotonic()
+        self.record(self.name, "begins a chunk of 3,000,000,000 bytes for", name)
+        writer.write(b"%x\r\n" % 3_000_000_000)
+        while time.monotonic() < self.spoilt_at + SPOILT_S:
+            writer.write(COMMENT)
+            await writer.drain()
+            await asyncio.sleep(GAP_S)
 
 
 async def case(record):
     states = States(lambda *words: None)
     workers = [
-        Worker(f"{role}-{i}", role, ("north", "east", "west")[i % 3], i // 2, states, record, quiet=True)
-        for i in range(6)
+        (Writer if role == "write" else Worker)(
+            f"{role}-{i}", role, ("north", "east", "west")[i % 3], i // 2, states, record
+        )
+        for i in range(4)
         for role in ("read", "write")
     ]
     for worker in workers:
         await worker.start()
     discovery = await Discovery(workers, record).start()
-    router = Router(record, settings(), discovery.port, memory_mb=MEMORY_MB, sockets=SOCKETS)
-    asked, answers, counts, peak_mb, killed, flood = set(), [], {}, 0.0, False, []
+    router = Router(record, settings(), discovery.port)
     try:
         await router.start()
         clients = Clients(router, record)
-        record("limit", MEMORY_MB, "MB; at the start", round(router.anonymous_mb(), 1), "MB")
-        began, sent, due = time.monotonic(), 0, 0.0
-        until = began + BEFORE_S + TROUBLE_S
-        while time.monotonic() < until and not killed:
-            now = time.monotonic() - began
-            if TROUBLE and not flood and now >= BEFORE_S:
-                record(BAD_CLIENTS, "bad clients connect")
-                flood = [asyncio.create_task(bad_client(router, n, until, counts)) for n in range(BAD_CLIENTS)]
-            if now >= due:
-                due, sent = due + 1 / RATE, sent + 1
-                ask = clients.ask(f"usual{sent}", "lookup", f"s{sent}", 7500, "prompt_len=400,max_out=40", b"y" * 2000, 12)
-                task = asyncio.create_task(ask)
-                asked.add(task)
-                task.add_done_callback(lambda task: (asked.discard(task), answers.append(task.result())))
-            used_mb = router.anonymous_mb()
-            peak_mb = max(peak_mb, used_mb)
-            if used_mb > MEMORY_MB:
-                record(f"the platform kills the router: {used_mb:.1f} MB; {len(asked)} usual requests are unanswered")
-                router.signal(signal.SIGKILL)
-                killed = True
-            if router.process.returncode is not None:
-                raise CannotRun(f"the router ended: {router.log()[-300:]}")
-            await asyncio.sleep(0.01)
-        for task in flood:
-            task.cancel()
-        if asked:
-            await asyncio.wait(set(asked), timeout=13)
-        served = sum(answer.status == 200 and answer.whole for answer in answers)
-        record(f"peak {peak_mb:.1f} MB of {MEMORY_MB}; usual requests: sent {sent}, served {served}; bad clients got {counts}")
-        clients.close()
-        return BROKEN if killed else HELD
+        extra = "prompt_len=400,max_out=40"
+        for n in range(4):
+            await clients.ask(f"usual{n}", "lookup", f"s{n}", 7500, extra, b"{}", 12)
+        for worker in workers:
+            worker.spoils = TROUBLE
+        # One client, whose connection is read until it ends.
+        reader, writer = await asyncio.open_connection(HOST, router.port)
+        fields = {
+            "host": "origin.svc",
+            "req-id": "asked",
+            "req-kind": "lookup",
+            "req-key": "t",
+            "req-deadline-ms": 7500,
+            "req-extra": extra,
+            "connection": "close",
+        }
+        writer.write(message("POST /v1/chat/completions HTTP/1.1", fields, b"{}"))
+        record("client sends asked")
+        got, ended_at, comments = b"", None, 0
+        until = time.monotonic() + 40
+        while ended_at is None and time.monotonic() < until:
+            try:
+                async with asyncio.timeout(0.5):
+                    data = await reader.read(4096)
+            except TimeoutError:
+                continue
+            except OSError:
+                data = b""
+            if not data:
+                ended_at = time.monotonic()
+            got += data
+            if got.count(COMMENT) // 20 > comments:
+                comments = got.count(COMMENT) // 20
+                record("client has got", got.count(COMMENT), "comments")
+        writer.close()
+        spoilt_at = next((w.spoilt_at for w in workers if getattr(w, "spoilt_at", None)), None)
+        if b" 200 " not in got[:20] or (TROUBLE and spoilt_at is None):
+            raise CannotRun(f"the request was not served: {got[:60]!r}")
+        if not TROUBLE:
+            record("the stream ended whole" if got.endswith(b"0\r\n\r\n") else "the stream was cut")
+            return HELD if got.endswith(b"0\r\n\r\n") else BROKEN
+        if ended_at is None:
+            record(f"the client's connection is open, {time.monotonic() - spoilt_at:.1f} s after the stream was spoilt")
+            return BROKEN
+        record(f"the client's connection ended {ended_at - spoilt_at:.1f} s after the stream was spoilt")
+        return BROKEN if ended_at - spoilt_at > BOUND_S or got.endswith(b"0\r\n\r\n") else HELD
     finally:
         await router.end()
 
