--- a/review/6/case.py
+++ b/review/6/case.py
@@ -119,7 +119,7 @@
             await asyncio.gather(
                 *[
                     clients.ask(f"usual{round_}-{n}", "booking", f"s{round_}-{n}", 10000, extra, b"{}", 12)
-                    for n in range(24)
+                    for n in range(48)
                 ]
             )
         await asyncio.sleep(0.7)
@@ -127,7 +127,7 @@
             worker.first_s = FIRST_TOKEN_S
             worker.served.clear()
         asked = [
-            asyncio.create_task(clients.ask(f"asked{n}", "booking", f"t{n}", 10000, extra, b"{}", 14)) for n in range(4)
+            asyncio.create_task(clients.ask(f"asked{n}", "booking", f"t{n}", 10000, extra, b"{}", 14)) for n in range(6)
         ]
         await asyncio.sleep(CUT_AFTER_S)
         if TROUBLE:
