--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,7 +11,7 @@
 
 WORKERS = 3200  # the pages: 3,200 at most
 ZONES = ["kelder", "zolder"]  # two server rooms, as at vvg-vaarhulp
-RATE, BEFORE_S, LOST_S, AFTER_S = 40.0, 70.0, 5.0, 8.0  # "some tens of requests a second"; "a zone is lost for 5 s"
+RATE, BEFORE_S, LOST_S, AFTER_S = 50.0, 78.0, 5.0, 7.0  # "some tens of requests a second"; "a zone is lost for 5 s"
 LITTLE_MS, USUAL_MS = 150, 6000  # one in two requests has very little time left
 LATE_S = 0.55  # "up to half a second after its time it only earns nothing", and 50 ms on sockets
 END_LATE_S = 1.05  # "passing on its end a second late loses it too", and 50 ms
