--- a/review/10/case.py
+++ b/review/10/case.py
@@ -104,6 +104,17 @@
                 comments = got.count(COMMENT) // 20
                 record("client has got", got.count(COMMENT), "comments")
         writer.close()
+        end = "the end" if ended_at else "no end"
+        record(
+            "client got",
+            got[:15].decode("latin-1"),
+            "for asked:",
+            len(got),
+            "bytes,",
+            got.count(COMMENT),
+            "comments,",
+            end,
+        )
         spoilt_at = next((w.spoilt_at for w in workers if getattr(w, "spoilt_at", None)), None)
         if b" 200 " not in got[:20] or (TROUBLE and spoilt_at is None):
             raise CannotRun(f"the request was not served: {got[:60]!r}")
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -37,7 +37,7 @@
     def run(self, name, worker):
         """The worker begins a request: it has its effect, or is known for a repeat."""
         now = time.monotonic()
-        if name in self.known and now - self.known[name] < WINDOW_S:
+        if name in self.known and now - self.known[name] < WINDOW_S + 0.05:  # "every time limit is 50 ms longer"
             self.record(worker, "knows", name, "for a repeat: no second effect")
             return
         self.known[name] = now
@@ -50,7 +50,7 @@
 
     def __init__(self, *args, ledger, load):
         super().__init__(*args)
-        self.ledger, self.load, self.served = ledger, load, asyncio.Event()
+        self.ledger, self.load = ledger, load
 
     def entry(self):
         return super().entry() | {"class": "full-box"}
@@ -64,13 +64,12 @@
 
     async def write(self, name, writer):
         self.ledger.run(name, self.name)
-        self.served.set()
         self.states.held[name] = self.name, time.monotonic()  # read here, and used at once
         await super().write(name, writer)
 
 
 async def case(record):
-    states = States(lambda *words: None)
+    states = States(record)
     ledgers = [Ledger(record), Ledger(record)]
     # Two zones of three workers each, in a group of their own; those of the router's own zone have little memory left.
     workers = [
@@ -125,7 +124,6 @@
         await asyncio.sleep(0.7)
         for worker in workers:
             worker.first_s = FIRST_TOKEN_S
-            worker.served.clear()
         asked = [
             asyncio.create_task(clients.ask(f"asked{n}", "booking", f"t{n}", 10000, extra, b"{}", 14)) for n in range(6)
         ]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -41,12 +41,16 @@
             await super().answer(method, target, fields, writer)
             return
         if self.held >= SLOTS + QUEUE:
+            self.record(self.name, "turns", fields["req-id"], "away")
             writer.write(message("HTTP/1.1 503 Service Unavailable", {"srv-declined": "1"}))
             return
         self.slots = self.slots or asyncio.Semaphore(SLOTS)
         self.held += 1
         try:
             async with self.slots:
+                if self.gone(writer):  # "a cancel or time-out drops waiting work"
+                    self.record(self.name, "drops", fields["req-id"], "as its connection has ended")
+                    raise ConnectionResetError
                 tokens = int(re.search(r"prompt_len=(\d+)", fields.get("req-extra", "prompt_len=400"))[1])
                 self.read_s = tokens / TOKENS_A_SECOND + 0.01
                 await self.read(fields["req-id"], writer)
@@ -56,7 +60,7 @@
 
 async def bad_client(router, record, number, until, counts):
     """The same again, under a new id, as soon as it is turned away."""
-    clients, tries = Clients(router, record, quiet=True), 0
+    clients, tries = Clients(router, record), 0
     extra = f"prompt_len={BODY_BYTES // 4},max_out=400"
     while time.monotonic() < until:
         tries += 1
@@ -69,10 +73,10 @@
 
 
 async def case(record):
-    states = States(lambda *words: None)
+    states = States(record)
     workers = [
         (Reader if role == "read" else Worker)(
-            f"{role}-{i}", role, ("north", "east", "west")[i % 3], i // 2, states, record, quiet=True
+            f"{role}-{i}", role, ("north", "east", "west")[i % 3], i // 2, states, record
         )
         for i in range(6)
         for role in ("read", "write")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -43,10 +43,9 @@
 
 
 async def case(record):
-    states = States(lambda *words: None)
+    states = States(record)
     workers = [
-        Worker(f"s-{i:04x}", ("read", "write")[i % 2], ZONES[i % 3], i // 5, states, record, quiet=True)
-        for i in range(WORKERS)
+        Worker(f"s-{i:04x}", ("read", "write")[i % 2], ZONES[i % 3], i // 5, states, record) for i in range(WORKERS)
     ]
     for worker in workers:
         await worker.start()
@@ -56,7 +55,7 @@
     asked, answers, peak_mb, killed = set(), [], 0.0, False
     try:
         await router.start()
-        clients, sessions = Clients(router, record, quiet=True), Sessions()
+        clients, sessions = Clients(router, record), Sessions()
         began, sent = time.monotonic(), 0
         record("memory at the start:", round(router.anonymous_mb(), 1), "MB")
         while time.monotonic() - began < SECONDS and not killed:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -42,9 +42,9 @@
 
 
 async def case(record):
-    states = States(lambda *words: None)
+    states = States(record)
     workers = [
-        Worker(f"s-{i:04x}", ("read", "write")[i % 2], ZONES[i // 5 % 2], i // 5, states, record, quiet=True)
+        Worker(f"s-{i:04x}", ("read", "write")[i % 2], ZONES[i // 5 % 2], i // 5, states, record)
         for i in range(WORKERS)
     ]
     for worker in workers:
@@ -63,12 +63,14 @@
                 step = 1
                 record("zone", ZONES[1], "is lost:", len(lost_zone), "workers")
                 for worker in lost_zone:
-                    worker.running.clear()
+                    worker.die()
             if TROUBLE and step == 1 and now >= BEFORE_S + LOST_S:
-                step, lag[0] = 2, 0.0
-                record("zone", ZONES[1], "is back, cold")
+                step = 2
                 for worker in lost_zone:
-                    worker.come_back()
+                    await worker.come_back()
+                record("zone", ZONES[1], "is back, cold")
+                await asyncio.sleep(0.1)
+                lag[0] = 0.0
                 discovery.tell(lost_zone, "back, with a new start")
             deadline_ms = LITTLE_MS if sent % 2 else USUAL_MS
             extra = "prompt_len=1500,max_out=200,prefix=5c0f6e1a2b3d4c59,prefix_len=1200"
--- a/review/stand2.py
+++ b/review/stand2.py
@@ -133,6 +133,7 @@
 
 
 LAST_CHUNK = b"0\r\n\r\n"
+LINGER_RESET = b"\1\0\0\0\0\0\0\0"  # struct linger: a close sends a reset
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
@@ -160,25 +161,44 @@
             self.record("state", name, "fetched from", self.held.pop(name)[0])
 
 
-class Worker:
-    """One reader or writer. `quiet` leaves its usual lines out of the record.
+def bound_socket():
+    """A socket at a port below those that the system gives to outgoing connections, so that none takes it meanwhile."""
+    for port in random.sample(range(12000, 32000), 200):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            sock.close()
+            continue
+        sock.setblocking(False)
+        return sock
+    raise CannotRun("no free port")
 
-    While it hangs it neither reads, writes nor notices anything; its listener's backlog still takes connections.
-    """
 
-    def __init__(self, name, role, zone, block, states, record, quiet=False):
-        self.name, self.role, self.zone, self.block, self.states = name, role, zone, block, states
-        self.record = (lambda *words: None) if quiet else record
-        self.born_ms, self.health, self.running = 0, "Ready", asyncio.Event()
-        self.running.set()
+def free_port():
+    with bound_socket() as sock:
+        return sock.getsockname()[1]
+
+
+class Worker:
+    """One reader or writer. What waits there is dropped once its connection has ended; a read that runs goes on."""
+
+    def __init__(self, name, role, zone, block, states, record):
+        self.name, self.role, self.zone, self.block, self.states, self.record = name, role, zone, block, states, record
+        self.born_ms, self.health = 0, "Ready"
         self.read_s, self.first_s, self.events, self.gap_s = 0.06, 0.03, 4, 0.05
-        self.posts, self.waiting, self.connections, self.begun, self.ended = 0, 0, {}, [], {}
+        self.waiting, self.connections, self.ended = 0, {}, {}
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, HOST, 0, limit=1 << 19)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.sock = bound_socket()
+        self.port = self.sock.getsockname()[1]
+        await self.listen()
         return self
 
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, sock=self.sock.dup(), limit=1 << 19)
+
     def entry(self):
         """Its entry in discovery's list."""
         return {
@@ -192,25 +212,33 @@
             "born_ms": self.born_ms,
         }
 
-    def come_back(self):
-        """Its machine is back: connections are reset, what it had is lost, and it is cold."""
-        for writer, task in list(self.connections.items()):
+    def die(self):
+        """Its process dies: connections are reset, new ones are refused, and what it held is gone."""
+        for writer, (task, _) in list(self.connections.items()):
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             writer.transport.abort()
             task.cancel()
         self.states.lose(self.name)
+        self.server.close()
+        self.sock.shutdown(socket.SHUT_RDWR)
+
+    async def come_back(self):
+        """It starts anew at its address, cold."""
         self.born_ms, self.waiting = int(time.time() * 1000), 0
-        self.running.set()
+        await self.listen()
+
+    def gone(self, writer):
+        """Whether the router has ended this connection, or its sending on it."""
+        return writer.transport.is_closing() or self.connections[writer][1].at_eof()
 
     async def serve(self, reader, writer):
-        self.connections[writer] = asyncio.current_task()
+        self.connections[writer] = asyncio.current_task(), reader
         try:
             while True:
                 first, fields = await read_head(reader)
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
-                await self.running.wait()
                 method, target, _ = first.split(" ")
                 if method == "POST":
-                    self.posts += 1
                     self.record(self.name, "received", fields.get("req-id"), f"({len(body)} bytes)")
                 await self.answer(method, target, fields, writer)
                 await writer.drain()
@@ -235,8 +263,10 @@
     async def read(self, name, writer):
         self.waiting += 1
         await asyncio.sleep(self.read_s)
-        await self.running.wait()
         self.waiting -= 1
+        if self.gone(writer):
+            self.record(self.name, "has read", name, "for nobody: its connection has ended")
+            raise ConnectionResetError
         self.states.add(name, self.name)
         self.record(self.name, "answers 202 to", name)
         writer.write(message("HTTP/1.1 202 Accepted", {}, b'{"cached_tokens":0}'))
@@ -249,18 +279,18 @@
         self.states.awaited[name] = self.states.awaited.get(name, 0) + 1
         try:
             await asyncio.sleep(self.first_s)
-            await self.running.wait()
         finally:
             self.states.awaited.pop(name)
+        if self.gone(writer):
+            self.record(self.name, "drops", name, "as its connection has ended")
+            raise ConnectionResetError
         self.states.take(name)
-        self.begun.append(name)
         self.record(self.name, "runs", name)
         writer.write(STREAM_HEAD)
         for number in range(self.events):
             writer.write(chunk(event(name, number)))
             await writer.drain()
             await asyncio.sleep(self.gap_s)
-            await self.running.wait()
         usage = {"prompt_tokens": 100, "completion_tokens": 4, "prompt_tokens_details": {"cached_tokens": 0}}
         writer.write(chunk(f"data: {json.dumps({'choices': [], 'usage': usage})}\n\n".encode()))
         self.ended[name] = time.monotonic()
@@ -339,7 +369,7 @@
                 pump.cancel()
         finally:
             for sock in (near, far):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
                 sock.close()
 
     async def pump(self, source, target):
@@ -402,18 +432,6 @@
             writer.close()
 
 
-def free_port():
-    """A port below those that the system gives to outgoing connections, so that none takes it meanwhile."""
-    for port in random.sample(range(12000, 32000), 200):
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-    raise CannotRun("no free port")
-
-
 class Router:
     """One router, started as the platform starts it: by `run` of the deploy file, told by PROXY_CONFIG."""
 
@@ -520,9 +538,8 @@
     """Clients of the platform: they keep their connections, send one request at a time on each and open more when all are
     busy. A request on a resting connection that ends unanswered is sent once more on a new connection."""
 
-    def __init__(self, router, record, quiet=False):
-        self.router, self.idle = router, []
-        self.record = (lambda *words: None) if quiet else record
+    def __init__(self, router, record):
+        self.router, self.record, self.idle = router, record, []
 
     async def ask(self, name, kind, session, deadline_ms, extra, body, wait_s):
         """Sends one request, and waits for the end of its answer for `wait_s` at most."""
@@ -548,7 +565,8 @@
         except (OSError, TimeoutError) as fault:
             answer.error = type(fault).__name__
         took = "-" if answer.at is None else f"{answer.at:.3f} s"
-        self.record("client got", answer.status or answer.error or "a close", "for", name, "after", took)
+        form = "whole" if answer.whole else "not whole"
+        self.record("client got", answer.status or answer.error or "a close", f"({form}) for", name, "after", took)
         return answer
 
     async def exchange(self, answer, connection, text):
