--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import re
-import signal
 import sys
 import time
 from collections import Counter
@@ -112,7 +111,7 @@
                 record(f"memory {used_mb:.1f} MB; bad clients got {dict(counts)}")
             if used_mb > MEMORY_MB:
                 record(f"the platform kills the router: {used_mb:.1f} MB; {len(asked)} usual requests are unanswered")
-                router.signal(signal.SIGKILL)
+                router.kill()
                 killed = True
             if router.process.returncode is not None:
                 raise CannotRun(f"the router ended: {router.log()[-300:]}")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 import time
 from pathlib import Path
@@ -78,7 +77,7 @@
                 record(
                     f"the platform kills the router: {used_mb:.1f} MB after {sent} requests, {len(asked)} unanswered"
                 )
-                router.signal(signal.SIGKILL)
+                router.kill()
                 killed = True
         if asked:
             await asyncio.wait(set(asked), timeout=15)
--- a/review/stand2.py
+++ b/review/stand2.py
@@ -161,26 +161,25 @@
             self.record("state", name, "fetched from", self.held.pop(name)[0])
 
 
-def bound_socket():
-    """A socket at a port below those that the system gives to outgoing connections, so that none takes it meanwhile."""
-    for port in random.sample(range(12000, 32000), 200):
+WORKER_PORTS, ROUTER_PORTS = range(12000, 32000), range(10000, 12000)  # below those of outgoing connections
+
+
+def bound_socket(ports, reuse=False):
+    """A socket at a free port, which nobody else can take meanwhile. `reuse`: but a router that is started may."""
+    for port in random.sample(ports, 400):
         sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, int(reuse))
         try:
             sock.bind((HOST, port))
         except OSError:
             sock.close()
             continue
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # it may listen again after its connections' ends
         sock.setblocking(False)
         return sock
     raise CannotRun("no free port")
 
 
-def free_port():
-    with bound_socket() as sock:
-        return sock.getsockname()[1]
-
-
 class Worker:
     """One reader or writer. What waits there is dropped once its connection has ended; a read that runs goes on."""
 
@@ -191,7 +190,7 @@
         self.waiting, self.connections, self.ended = 0, {}, {}
 
     async def start(self):
-        self.sock = bound_socket()
+        self.sock = bound_socket(WORKER_PORTS)
         self.port = self.sock.getsockname()[1]
         await self.listen()
         return self
@@ -436,7 +435,9 @@
     """One router, started as the platform starts it: by `run` of the deploy file, told by PROXY_CONFIG."""
 
     def __init__(self, record, made_settings, discovery_port, known=None, memory_mb=192, sockets=1024, name="n1"):
-        self.record, self.name, self.port, self.memory_mb = record, name, free_port(), memory_mb
+        self.record, self.name, self.memory_mb, self.was_killed = record, name, memory_mb, False
+        self.reservation = bound_socket(ROUTER_PORTS, reuse=True)  # keeps the port
+        self.port = self.reservation.getsockname()[1]
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.config = {
             "name": name,
@@ -477,7 +478,7 @@
         while time.monotonic() < until:
             if self.process.returncode is not None:
                 raise CannotRun(f"the router ended with status {self.process.returncode}: {self.log()[-300:]}")
-            if await self.is_ready():
+            if " listening " in self.log() and await self.is_ready():
                 self.record("router", self.name, "is ready")
                 return self
             await asyncio.sleep(0.05)
@@ -513,17 +514,23 @@
             return 0.0
         return sum(sizes.values())
 
-    def signal(self, number):
-        if self.process is not None and self.process.returncode is None:
-            os.kill(self.process.pid, number)
+    def kill(self):
+        """As the platform does, over the limit of memory."""
+        self.was_killed = True
+        if self.process.returncode is None:
+            self.process.kill()
 
     async def end(self):
-        """Ends it if it still runs, and removes its folder."""
+        """Ends it if it still runs, and removes its folder. Raises CannotRun if it had ended by itself."""
+        ended_itself = self.process is not None and self.process.returncode is not None and not self.was_killed
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
         if self.process is not None:
             await self.process.wait()
+        self.reservation.close()
         shutil.rmtree(self.folder, ignore_errors=True)
+        if ended_itself:
+            raise CannotRun("the router had ended by itself")
 
 
 class Answer:
