--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,6 +16,8 @@
     Router,
     States,
     Worker,
+    check_disruption,
+    check_served,
     message,
     run_case,
     settings,
@@ -23,7 +25,7 @@
 
 ZONES = ["north", "south"]
 WINDOW_S = 5.0  # Lanes[].WindowS: so long a worker of the zone knows a repeat, from the first attempt's send
-CUT_S = 6.0  # "for 6 s a zone is partitioned"
+CUT_LIMIT_S, CUT_S = 6.0, 5.9  # "for 6 s a zone is partitioned"
 CUT_AFTER_S = 0.1  # after the first attempt's last byte has come to its worker
 FIRST_TOKEN_S = 0.4
 
@@ -129,6 +131,7 @@
         ]
         await asyncio.sleep(CUT_AFTER_S)
         if TROUBLE:
+            cut_at = time.monotonic()
             record("zone south is partitioned")
             for worker in south:
                 links[worker].cut()
@@ -136,7 +139,9 @@
             record("the partition has ended")
             for worker in south:
                 links[worker].heal()
-        await asyncio.gather(*asked)
+            check_disruption(cut_at, CUT_LIMIT_S)
+        answers = await asyncio.gather(*asked)
+        check_served(sum(answer.status == 200 and answer.whole for answer in answers), len(answers))
         await asyncio.sleep(1.0)
         twice = {name: effects for ledger in ledgers for name, effects in ledger.effects.items() if len(effects) > 1}
         for name, effects in twice.items():
