A stream ends once no event with data comes, whatever else its worker sends

Cause: the idle timeout of a stream was restarted by every block that was passed on, comments too, and put off for as long as the connection had unread bytes.

Change: only events with data restart it (RawEventSplitter.event_count). What had arrived by the deadline is still handled before the end, counted in bytes; what comes later does not count. Related: OpenAI engines restarted it with every receive; comments before the first event began the client's answer, they are kept up to 64 KiB now and go with it. Why it works: a client waits for events, and nothing but one moves the deadline.

--- a/ramppulley/engines/openai.py
+++ b/ramppulley/engines/openai.py
@@ -222,8 +222,7 @@
                         streams.report if streams else None,
                     )
                 )
-            if streams is not None and attempt.first_token_at is not None:
-                stream_timeout.restart()
+            stream_timeout.received(len(data))
             try:
                 await self._feed(parser, data)
             except BadMessage:
@@ -241,6 +240,7 @@
                     streams = EventStream(core, attempt, report, stream_timeout, self.reads)
             if streams:
                 await streams.feed(parser.take())
+            stream_timeout.handled()
         if streams:
             return streams.finish(), parser.keep_alive
         return self._result_of_whole_response(attempt, parser, report), parser.keep_alive
@@ -300,6 +300,7 @@
                 raise BadMessage("an event after [DONE]")
             if event == sse.DONE:
                 self.done = True
+                self._restart_timeout()
                 if self.attempt.first_token_at is not None:
                     await self._pass_on(event)
                 continue
@@ -310,13 +311,17 @@
             only_usage = False
             if b'"usage":{' in event or b'"usage": {' in event or not event.startswith(b"{"):
                 only_usage = self._record_usage(event)
-            if self.attempt.first_token_at is None and not only_usage:
-                if not self.core.first_token(self.attempt):
-                    raise AttemptEndedError(AttemptResult(door.UNDONE, "answered already", self.report))
-                self.stream_timeout.restart()
+            if self.attempt.first_token_at is None and not only_usage and not self.core.first_token(self.attempt):
+                raise AttemptEndedError(AttemptResult(door.UNDONE, "answered already", self.report))
+            self._restart_timeout()
             if not only_usage or self.attempt.tracked.request.with_usage:
                 await self._pass_on(event)
 
+    def _restart_timeout(self):
+        """An event has come; until the first token, the attempt's own timeout holds."""
+        if self.attempt.first_token_at is not None:
+            self.stream_timeout.restart()
+
     async def _pass_on(self, event):
         self.stream_timeout.forwarding = True
         try:
--- a/ramppulley/engines/platform/connector.py
+++ b/ramppulley/engines/platform/connector.py
@@ -190,12 +190,13 @@
         stream_timeout, response = StreamTimeout(timeout, transport, STREAM_IDLE_TIMEOUT_S), Response(parser)
         try:
             while not parser.done:
-                await self._receive(attempt, transport, response)
+                await self._receive(attempt, transport, response, stream_timeout)
                 if parser.status and attempt.stage == Stage.WAIT:
                     self._read_head(core, attempt, response, stream_timeout)
                 if response.stream is not None:
                     await response.stream.feed(parser.take())
                     self.record_response(attempt.endpoint)
+                stream_timeout.handled()
             if response.stream is not None:
                 result = await response.stream.finish(self._read_stream_report)
             else:
@@ -204,10 +205,13 @@
         finally:
             stream_timeout.close()
 
-    async def _receive(self, attempt: EngineAttempt, transport: Transport, response: Response) -> None:
+    async def _receive(
+        self, attempt: EngineAttempt, transport: Transport, response: Response, stream_timeout: StreamTimeout
+    ) -> None:
         """Receives the next bytes and feeds them to the response's parser."""
         parser = response.parser
         data = await transport.receive()
+        stream_timeout.received(len(data))
         if not data:
             outcome = outcome_of(attempt.stage, Failure.LOST)
             raise AttemptEndedError(AttemptResult(outcome, f"{attempt.stage}: the connection ended", response.report))
--- a/ramppulley/engines/platform/stream.py
+++ b/ramppulley/engines/platform/stream.py
@@ -9,40 +9,63 @@
 from ramppulley.engines.usage import usage_of
 from ramppulley.service.neutral import AttemptResult, EngineAttempt
 from ramppulley.wire import platform, sse
-from ramppulley.wire.faults import BadMessage
+from ramppulley.wire.faults import BadMessage, TooLarge
 from ramppulley.wire.read_scheduler import ReadScheduler
 
 MAX_TAIL_BYTES = 4096  # end of the stream that is searched for usage and load report
+MAX_LEADING_BYTES = 64 * 1024  # before the first event of a stream
 REPORT_COMMENT = b": Srv-Load:"
 
 
 class EventStream:
-    """Forwards complete events immediately and unchanged; the next bytes are read once the client has accepted them."""
+    """Forwards complete events immediately and unchanged; the next bytes are read once the client has accepted them.
+
+    The response to the client begins with the first event that has data. Comments before it are forwarded together with it.
+    """
 
     def __init__(self, core: Any, attempt: EngineAttempt, stream_timeout: StreamTimeout, reads: ReadScheduler) -> None:
         self.core, self.attempt, self.stream_timeout, self.reads = core, attempt, stream_timeout, reads
         self.splitter, self.tail = sse.RawEventSplitter(), b""
+        self._leading = b""  # what came before the first event
 
     async def feed(self, data: bytes) -> None:
         """Forwards complete events.
 
         Raises BadMessage for corrupt data: after forwarding the events before it if the response has started, else at once.
         """
-        events = await self.reads.run(lambda: self.splitter.feed(data))
+        known_events = self.splitter.event_count
+        blocks = await self.reads.run(lambda: self.splitter.feed(data))
+        has_event = self.splitter.event_count > known_events
         if self.attempt.first_token_at is None:
             self.splitter.fault.raise_stored()  # nothing was forwarded yet: another worker can serve the whole response
-        if events:
-            await self._pass_on(events)
+            blocks = self._with_leading(blocks, has_event)
+        if has_event:
+            self._begin_response()
+            self.stream_timeout.restart()
+        if blocks:
+            await self._pass_on(blocks)
         self.splitter.fault.raise_stored()
 
-    async def _pass_on(self, events: bytes) -> None:
-        self.tail = (self.tail + events)[-MAX_TAIL_BYTES:]
+    def _with_leading(self, blocks: bytes, has_event: bool) -> bytes:
+        """What can be forwarded before the response has started: nothing, up to the first event. Raises TooLarge."""
+        self._leading += blocks
+        if not has_event:
+            if len(self._leading) > MAX_LEADING_BYTES:
+                raise TooLarge(f"over {MAX_LEADING_BYTES} bytes before the first event", 502)
+            return b""
+        blocks, self._leading = self._leading, b""
+        return blocks
+
+    def _begin_response(self) -> None:
+        """Starts the response to the client with its first event; raises AttemptEndedError if it takes none any more."""
         if self.attempt.first_token_at is None and not self.core.first_token(self.attempt):
             raise AttemptEndedError(AttemptResult(door.UNDONE, "answered already"))
-        self.stream_timeout.restart()
+
+    async def _pass_on(self, blocks: bytes) -> None:
+        self.tail = (self.tail + blocks)[-MAX_TAIL_BYTES:]
         self.stream_timeout.forwarding = True
         try:
-            await self.attempt.tracked.sink.piece(events)
+            await self.attempt.tracked.sink.piece(blocks)
         except OSError:
             raise AttemptEndedError(AttemptResult(door.UNDONE, "the client left")) from None
         self.stream_timeout.forwarding = False
--- a/ramppulley/engines/stream_timeout.py
+++ b/ramppulley/engines/stream_timeout.py
@@ -8,10 +8,10 @@
 
 
 class StreamTimeout:
-    """Expires `timeout` once the worker has sent nothing on a stream for `idle_s`.
+    """Expires `timeout` once the worker has sent no event on a stream for `idle_s`, whatever else it sends.
 
-    Time spent forwarding an event to the client (`forwarding`) does not count, as the worker is not at fault. A stream with
-    unread bytes is not ended either, however late the event loop runs.
+    Time spent forwarding an event to the client (`forwarding`) does not count, as the worker is not at fault. Neither does
+    the time that the router takes to handle what had arrived by then, however late the event loop runs.
     """
 
     def __init__(self, timeout: asyncio.Timeout, transport: Transport, idle_s: float) -> None:
@@ -20,10 +20,22 @@
         self.forwarding = False
         self.deadline: float | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self._received_bytes = 0
+        self._handled_bytes = 0  # of the received ones
+        self._arrived_bytes: int | None = None  # when the deadline was found to have passed
+
+    def received(self, count: int) -> None:
+        """The next bytes have been received from the worker."""
+        self._received_bytes += count
+
+    def handled(self) -> None:
+        """All received bytes have been handled, and `restart` was called for each event in them."""
+        self._handled_bytes = self._received_bytes
 
     def restart(self) -> None:
-        """Restarts the idle time, as the worker has sent something. The idle timeout replaces the attempt's deadline."""
+        """Restarts the idle time, as the worker has sent an event. The idle timeout replaces the attempt's deadline."""
         self.deadline = self.loop.time() + self.idle_s
+        self._arrived_bytes = None
         if self.timer is not None:
             return
         try:
@@ -39,12 +51,20 @@
 
     def _on_timer(self) -> None:
         now = self.loop.time()
-        if self.forwarding or self.transport.has_unread_bytes():
-            self.timer = self.loop.call_later(RECHECK_S, self._on_timer)
-        elif self.deadline is not None and now < self.deadline:
+        if self.deadline is not None and now < self.deadline:
             self.timer = self.loop.call_at(self.deadline, self._on_timer)
+        elif self.forwarding or self._has_unhandled_bytes():
+            self.timer = self.loop.call_later(RECHECK_S, self._on_timer)
         else:
             self.timer = None
             # A deadline in the past takes effect after the bytes received in this event loop iteration are handled, which
             # may still call `restart`; cancelling here would lose those bytes.
             self.timeout.reschedule(now)
+
+    def _has_unhandled_bytes(self) -> bool:
+        """Whether the router has yet to handle bytes that had arrived when the deadline passed; later ones do not count."""
+        if self._arrived_bytes is None:
+            # `unread_bytes` is 0 where the system does not tell the number.
+            unread_bytes = max(self.transport.unread_bytes(), int(self.transport.has_unread_bytes()))
+            self._arrived_bytes = self._received_bytes + unread_bytes
+        return self._handled_bytes < self._arrived_bytes
--- a/ramppulley/wire/sse.py
+++ b/ramppulley/wire/sse.py
@@ -11,6 +11,7 @@
 FIELDS = b"data:", b":", b"event:", b"id:", b"retry:"
 LINE_ENDS = re.compile(rb"[\r\n]*")
 MAX_OPEN_LINE_END_BYTES = 2  # at the end of what was received, a part of a blank line
+DATA_FIELD = re.compile(rb"(?<![^\r\n])data:")  # at the start of a line
 BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")  # after a line; each of the three sequences ends a line
 
 
@@ -60,7 +61,8 @@
     """Splits a byte stream into whole events, unchanged, so that they can be forwarded.
 
     Malformed or oversized data is stored as an error in `fault`, not raised, so that the events before it can be forwarded
-    first. Blank lines before an event belong to it.
+    first. Blank lines before an event belong to it. `event_count` counts the events with data: a client is given nothing
+    for a block of comments or of other fields (HTML standard, section 9.2.6).
 
     >>> splitter = RawEventSplitter()
     >>> splitter.feed(b"data: 1\\n\\ndata: 2\\n"), splitter.feed(b"\\n: x\\n\\n"), splitter.rest
@@ -69,13 +71,14 @@
     (b'data: 3\\r\\n\\r\\n', b'\\r\\ndata: 4\\r\\n\\r\\n')
     >>> splitter.last()
     b': x'
-    >>> splitter.feed(b"data: 5\\n\\nnoise\\n\\n"), bool(splitter.fault)
-    (b'data: 5\\n\\n', True)
+    >>> splitter.feed(b"data: 5\\n\\nnoise\\n\\n"), bool(splitter.fault), splitter.event_count
+    (b'data: 5\\n\\n', True, 5)
     """
 
     def __init__(self, max_event_bytes: int = 64 << 10) -> None:
         self.max_event_bytes, self._buffer = max_event_bytes, _EventBuffer()
         self.fault = PendingError()
+        self.event_count = 0
 
     @property
     def rest(self) -> bytes:
@@ -91,6 +94,7 @@
             if not buffer.bytes.startswith(FIELDS, first_line):
                 self.fault.store(BadMessage("what came in the stream is no event"))
                 break
+            self.event_count += DATA_FIELD.search(buffer.bytes, first_line, end) is not None
             whole_bytes = end
         events = buffer.take(whole_bytes)
         if len(buffer.bytes) > self.max_event_bytes:
--- a/tests/test_stream_delay.py
+++ b/tests/test_stream_delay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import functools
 import gc
@@ -14,7 +15,7 @@
 import time
 
 import pytest
-from platform_rig import World, question
+from platform_rig import SETTINGS, World, question
 from rig import CHAT, Rig, story
 
 from ramppulley.engines.platform import connector
@@ -138,6 +139,12 @@
             pass
         return self.parser.done
 
+    async def discard_rest(self):
+        """The same for a stream that may be large, which is not kept."""
+        while not self.parser.done and await self.read_more():
+            self.text = b""
+        return self.parser.done
+
 
 @contextlib.asynccontextmanager
 async def open_connection(side, buffer=None):
@@ -413,6 +420,106 @@
         assert RecordingRouter.instances[0].outcomes == ["too_slow"]
 
 
+BLOCKS_WITHOUT_DATA = {"comments": b": still working\n\n", "ids": b"id: 7\n\n", "names": b"event: ping\n\n"}
+BURST_BYTES = 64 * 1024
+
+
+async def keep_sending(transport, data, pause_s):
+    """Sends the same until the router closes the connection."""
+    try:
+        while True:
+            await transport.send(http.chunk(data))
+            await asyncio.sleep(pause_s)
+    except OSError:
+        pass
+
+
+@pytest.mark.parametrize("pace", ["slow", "full speed"])
+@pytest.mark.parametrize("block", BLOCKS_WITHOUT_DATA)
+@on_both_fronts
+async def test_a_stream_that_goes_on_without_events_is_ended_as_one_that_falls_silent(side, block, pace, monkeypatch):
+    """Guards against a stream of comments that kept its client waiting for as long as it stayed (incident 0018)."""
+    data = BLOCKS_WITHOUT_DATA[block]
+
+    async def respond(transport):
+        await transport.send(HEAD + http.chunk(event(1)))
+        if pace == "slow":
+            await keep_sending(transport, data, 0.03)
+        else:
+            await keep_sending(transport, data * (BURST_BYTES // len(data)), 0.0)
+
+    async with (
+        side(respond, **stream_idle_timeout_settings(side, 0.3, monkeypatch)) as router,
+        open_client(router) as client,
+    ):
+        await client.until(event(1))
+        async with asyncio.timeout(1.5):
+            assert not await client.discard_rest()
+        assert RecordingRouter.instances[0].outcomes == ["too_slow"]
+
+
+@on_both_fronts
+async def test_a_stream_whose_comments_are_many_and_whose_events_come_in_time_goes_on_to_its_end(side, monkeypatch):
+    async def respond(transport):
+        await transport.send(HEAD)
+        for number in range(8):
+            await transport.send(http.chunk(event(number)))
+            for _ in range(5):
+                await asyncio.sleep(0.02)
+                await transport.send(http.chunk(b": still working\n\n" * 50))
+        await transport.send(LAST)
+
+    async with (
+        side(respond, **stream_idle_timeout_settings(side, 0.3, monkeypatch)) as router,
+        open_client(router) as client,
+    ):
+        assert await client.read_rest() and RecordingRouter.instances[0].outcomes == ["done"]
+
+
+@story
+async def test_comments_before_the_first_event_do_not_begin_the_answer_and_another_attempt_gives_it_whole():
+    """Guards against an answer that a stream of comments began, and that no other worker could give then (incident 0018)."""
+
+    async def respond(transport):
+        attempts.append(transport)
+        await transport.send(HEAD)
+        if len(attempts) == 1:
+            await keep_sending(transport, b": still working\n\n", 0.02)
+        await transport.send(http.chunk(b": warm\n\n") + http.chunk(event(1)) + LAST)
+
+    attempts = []
+    async with (
+        PlatformSide(respond, settings=short_target_settings(0.15)) as router,
+        open_client(router) as client,
+        asyncio.timeout(3),
+    ):
+        assert await client.read_rest() and client.text == b": warm\n\n" + event(1) + DONE
+        assert len(attempts) == 2 and RecordingRouter.instances[0].outcomes[-1] == "done"
+
+
+@story
+async def test_what_comes_before_the_first_event_is_kept_up_to_a_limit():
+    async def respond(transport):
+        attempts.append(transport)
+        await transport.send(HEAD)
+        if len(attempts) == 1:
+            await keep_sending(transport, b": still working\n\n" * 500, 0.0)
+        await transport.send(http.chunk(event(1)) + LAST)
+
+    attempts = []
+    async with PlatformSide(respond) as router, open_client(router) as client, asyncio.timeout(3):
+        assert await client.read_rest() and client.text == event(1) + DONE and len(attempts) == 2
+
+
+def short_target_settings(aim_s):
+    """Settings with this latency target: an attempt is given up after twice the time."""
+    settings = copy.deepcopy(SETTINGS)
+    for lane in settings["Lanes"]:
+        lane["AimS"] = aim_s
+    settings["Specifics"]["AimUsPer1000PromptTokens"] = [0.0, 0.0]
+    return settings
+
+
 MANY_EVENTS = [event(f"{number} " + "x" * 1000) for number in range(64)]
 
 
