A refused request is freed with its answer and not at its deadline

Cause: Core._forget was called for the request that an event was about. One that is refused from the queue is ended by the event of another, one refused at once by `submit`; both stayed, body and all, until the timer of the deadline that the client names. Evidence (in process, 20 requests refused from the queue): 20 in Core.requests, all answered, none with an attempt, 5,120 KiB of bodies, none in the module.

Change: what gets its final answer is noted and forgotten at the end of the event that gave it. Related: the same after events of no request (list, probe, peer report) and after a fault of the module, which is told now that the request has ended; timers refer weakly to the module's notes, as each kept its request and a roster until the deadline, of served requests too; unstreamed_requests drops what has ended. Why it works: every way to a final answer passes _set_final_answer, and every event its end.

Tests, seen to fail on the old text: five in tests/test_refused_memory.py. Decisions are as they were: the reminders that are gone did nothing. Replaced: the mutant NeverLetsGo in tests/test_checkers.py ignored `let_go`; the core releases what a refused request holds when it forgets it, at once now, so nothing was held any more. The mutant takes this step out too: what it holds and for how long is what it was, the assertion is the same.

--- a/ramppulley/door.py
+++ b/ramppulley/door.py
@@ -128,7 +128,8 @@
     """Carries out decisions; passes `attempt` and `note` objects back as they were given.
 
     hold_place: reserve capacity. let_go: release KV state and reservation. withdraw: cancel an attempt. turn_back: reject a
-    request, with a retry-after time. scrap: fail a request, as an attempt may have run.
+    request, with a retry-after time. scrap: fail a request, as an attempt may have run. remind: pass `note` back after a
+    wait, unless the module has dropped it by then: a host may hold it by a weak reference.
     """
 
     def send(self, view: RequestView, endpoint: Endpoint, timeout: int, attempt: Any) -> None: ...
--- a/ramppulley/load/baselines.py
+++ b/ramppulley/load/baselines.py
@@ -3,14 +3,31 @@
 They receive the same events as `rules.Router` and share no code with it. They are for measurements only, not for production.
 """
 
+from dataclasses import dataclass, field
 from random import Random
 from types import SimpleNamespace
+from typing import Any
 
 from ramppulley import door
 
 DEADLINE_MARGIN = 300  # the final answer is due this long before the client's deadline, in tenths of a millisecond
 
 
+@dataclass(eq=False)
+class BaselineRequest:
+    """One request as a baseline tracks it."""
+
+    view: Any
+    deadline: int
+    attempts: list = field(default_factory=list)
+    open_attempt: Any = None
+    has_kv_state: bool = False
+    tried: set = field(default_factory=set)
+    may_have_run: bool = False
+    streaming: bool = False
+    closed: bool = False
+
+
 class Baseline:
     """Sends each request to a prefill worker, then to a decode worker. An attempt that never ran, or that failed on a
     request that is safe to repeat, is retried elsewhere; otherwise the request fails."""
@@ -30,17 +47,7 @@
             worker.state = endpoint.state
 
     def arrived(self, now, view):
-        request = self.requests[view] = SimpleNamespace(
-            view=view,
-            deadline=now + view.patience - DEADLINE_MARGIN,
-            attempts=[],
-            open_attempt=None,
-            has_kv_state=False,
-            tried=set(),
-            may_have_run=False,
-            streaming=False,
-            closed=False,
-        )
+        request = self.requests[view] = BaselineRequest(view, now + view.patience - DEADLINE_MARGIN)
         self.host.remind(max(1, view.patience - DEADLINE_MARGIN), request)
         self.start_attempt(now, request)
 
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -1122,7 +1122,7 @@
         self.last_attempt_at = now
         self.prompt_lengths = deque(maxlen=8 * SAMPLE_COUNT)
         # Workers that may owe a first token; requests without one.
-        self.awaited_workers, self.unstreamed_requests = set(), deque()
+        self.awaited_workers, self.unstreamed_requests = set(), {}  # the second in the order of their arrival
         self.admission, self.next_tick_at = AdmissionQueue(self), 0
         self.configured(now, **settings)
 
@@ -1170,10 +1170,8 @@
             self.schedule_tick()
 
     def schedule_tick(self):
-        while self.unstreamed_requests and (
-            self.unstreamed_requests[0].streaming or self.unstreamed_requests[0].view not in self.requests
-        ):
-            self.unstreamed_requests.popleft()
+        while self.unstreamed_requests and (first := next(iter(self.unstreamed_requests))).streaming:
+            del self.unstreamed_requests[first]
         if not self.next_tick_at and self.unstreamed_requests:
             self.next_tick_at = self.clock + TICK_INTERVAL
             self.host.remind(TICK_INTERVAL, self)
@@ -1208,7 +1206,7 @@
         return known
 
     def on_ended(self, view):
-        self.requests.pop(view, None)
+        self.unstreamed_requests.pop(self.requests.pop(view, None), None)
 
     def listed(self, now, endpoints):
         """Discovery has listed these workers anew or changed them."""
@@ -1233,7 +1231,7 @@
         self.clock = now
         request = self.requests[view] = PolicyRequest(self, view, self.capabilities)
         self.prompt_lengths.append(view.prompt)
-        self.unstreamed_requests.append(request)
+        self.unstreamed_requests[request] = None
         self.host.remind(max(1, view.patience - DEADLINE_MARGIN), request)
         self.tell(now, (self.admission, "arrived", request))
         self.schedule_tick()
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -3,9 +3,12 @@
 A front submits an InferenceRequest with its ResponseSink (`submit`, `client_left`). An engine connector is called to start,
 cancel, reserve and release, and reports `first_token`, `attempt_ended`, `reservation_answered` and `probed`. Discovery
 reports `endpoints_changed`. Memory per request is its body, its TrackedRequest and an EngineAttempt for each attempt (four
-at most); tokens are passed through and not accumulated.
+at most); tokens are passed through and not accumulated. It is freed once the request has its final answer and no attempt is
+open, at the end of the event that did so.
 """
 
+import weakref
+
 from ramppulley import door
 from ramppulley.service.audit import Action, RuleAudit, Violation
 from ramppulley.service.neutral import (
@@ -41,6 +44,7 @@
         self.name_of = name_of
         self.audit = audit or RuleAudit(log, clock)
         self.requests, self.accepted, self.draining = {}, 0, False
+        self._answered = []  # requests that the present event has given their final answer
         # maximum time that KV state is held, if the engines set one; tenths of a millisecond
         self.kv_state_limit = None
         self.before_decision = None  # optional callback before a decision
@@ -273,24 +277,22 @@
         )
 
     def remind(self, wait, note):
-        self.clock.after(wait, self._on_reminder, note)
+        # A timer keeps nothing alive: one for a request's deadline may outlive the request by hours.
+        self.clock.after(wait, self._on_reminder, weakref.ref(note))
 
     def log(self, line):
         self._log.info("mode", pool=self.pool, line=line)
 
     # Internal
-    def _on_reminder(self, note):
+    def _on_reminder(self, reference):
+        note = reference()
+        if note is None:
+            return  # it has ended, and the module keeps it no longer
         view = getattr(note, "view", None)
         if view in self.requests:
             self._dispatch(self.requests[view], self.router.reminded, note)
         else:
             self._call_guarded("reminded", self.router.reminded, self.clock.now(), note)
-        self._forget_if_ended(note)
-
-    def _forget_if_ended(self, note):
-        view = getattr(note, "view", None)
-        if view in self.requests:
-            self._forget(self.requests[view])
 
     def _dispatch(self, tracked, event, *args):
         """Passes a request's event to the module; an exception there fails this request and no other one."""
@@ -299,6 +301,7 @@
         except Exception:
             self.audit.own_fault(getattr(event, "__name__", "event"), tracked.request.name)
             self._fail_request(tracked)
+        self._forget_answered()
 
     def _call_guarded(self, event, call, *args, **options):
         """Passes an event of no request to the module; an exception there loses the event, but does not end the caller."""
@@ -306,9 +309,16 @@
             call(*args, **options)
         except Exception:
             self.audit.own_fault(event)
+        self._forget_answered()
+
+    def _forget_answered(self):
+        """Forgets the requests that an event has ended. It may have ended others than its own: the queue's, for instance."""
+        while self._answered:
+            self._forget(self._answered.pop())
 
     def _fail_request(self, tracked):
-        """Ends a request safely after a fault of our own: answers it, cancels its attempts and releases what it holds."""
+        """Ends a request safely after a fault of our own: answers it, cancels its attempts and releases what it holds. The
+        module is told that it has ended, and does not go on with it."""
         if tracked.final_answer is None:
             self._set_final_answer(
                 tracked,
@@ -317,6 +327,7 @@
         self.let_go(tracked.view)
         for attempt in tracked.open_attempts:
             self._cancel(attempt)
+        self._call_guarded("left", self.router.left, self.clock.now(), tracked.view)
 
     def _count_retry(self, last):
         """Counts a retry after attempt `last`. The hand-over from prefill to decode is not one."""
@@ -345,8 +356,6 @@
             if tracked.final_answer is None and tracked.first_token_at is None and overdue > ANSWER_SLACK:
                 self.audit.violation(Violation.ANSWER_OVERDUE, tracked.request.name, late_ms=overdue // 10)
                 self._fail_request(tracked)
-                self._call_guarded("left", self.router.left, now, tracked.view)
-                self._forget(tracked)
             elif self._kv_state_overdue(tracked, now):
                 self.audit.violation(Violation.STATE_HELD, tracked.request.name, ms=(now - tracked.held_since) // 10)
                 self.let_go(tracked.view)
@@ -380,6 +389,7 @@
             )
             return
         tracked.final_answer, tracked.ended_at = final_answer, self.clock.now()
+        self._answered.append(tracked)
         self.audit.count(
             Action.ANSWERED,
             f"{final_answer.result}: {final_answer.reason}" if final_answer.reason else final_answer.result,
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -157,7 +157,10 @@
 
 
 class NeverLetsGo(Router):
+    """It does not release, and its core keeps refused requests, which would be released when they are forgotten."""
+
     def __init__(self, host, **more):
+        host._forget_answered = lambda: None
         super().__init__(Host(host, "let_go"), **more)
 
 
--- a/tests/test_refused_memory.py
+++ b/tests/test_refused_memory.py
@@ -1,9 +1,11 @@
 """Memory of peers that are turned away: what they sent is freed at once, without a garbage collection, which is rare.
 
-Guards against incident 0015: refused bodies stayed in reference cycles, and the router went over its memory limit.
+Guards against incidents 0015 and 0019: refused bodies stayed in reference cycles, and those of refused requests until their
+deadline, and the router went over its memory limit.
 """
 
 import asyncio
+import functools
 import gc
 import tracemalloc
 import weakref
@@ -17,6 +19,8 @@
 from ramppulley.fronts import client_connection
 from ramppulley.fronts.platform import server
 from ramppulley.fronts.platform.server import MAX_BODY_BYTES
+from ramppulley.rules import AdmissionQueue, PolicyRequest, Router
+from ramppulley.service.neutral import InferenceRequest
 from ramppulley.standin.platform import HEAD
 from ramppulley.wire import http
 from ramppulley.wire.faults import BadMessage
@@ -167,3 +171,73 @@
             transport.close()
     # each end of a connection, here and at the client, keeps a receive buffer
     assert kept < 2 * MAX_BUFFER_BYTES, f"{kept / 1024:.0f} KiB are kept of each refused client"
+
+
+LONG_DEADLINE_MS = "3600000"
+
+
+def queue_is_full(patch):
+    """From now on requests wait in the queue until they are refused."""
+    patch.setattr(AdmissionQueue, "try_admit", lambda *_: False)
+
+
+def module_fails(patch):
+    """From now on the decision module fails with each request."""
+    patch.setattr(Router, "arrived", lambda *_: 1 / 0)
+
+
+async def no_worker_is_left(world):
+    """All workers of one role are gone: a request is refused at once."""
+    world.list.tell(*[world.entry(worker, "Gone") for worker in world.readers])
+    await world.until(lambda: not world.node.core.router.roster.prefill_workers)
+
+
+async def every_prefill_is_declined(world):
+    """A request is refused after its attempts."""
+    for reader in world.readers:
+        reader._answer = functools.partial(decline, reader._answer)
+
+
+async def decline(answer_otherwise, transport, request, name):
+    if request.method != "POST":
+        return await answer_otherwise(transport, request, name)
+    await transport.send(http.response(503, {"srv-declined": "1"}))
+
+
+REFUSALS = {
+    "from the queue": (queue_is_full, None),
+    "by a fault of the module": (module_fails, None),
+    "at once, for want of workers": (None, no_worker_is_left),
+    "after attempts that were declined": (None, every_prefill_is_declined),
+}
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_a_refused_request_is_freed_with_its_body_and_not_at_its_deadline(refusal, monkeypatch, no_garbage_collection):
+    patch_module, change_workers = REFUSALS[refusal]
+
+    async def play():
+        async with World(readers=2) as world:
+            if patch_module:
+                patch_module(monkeypatch)
+            if change_workers:
+                await change_workers(world)
+            answers = await asyncio.gather(
+                *[world.ask(f"q-{n}", body=WHOLE_BODY, req_deadline_ms=LONG_DEADLINE_MS) for n in range(CLIENTS)]
+            )
+            assert all(status >= 500 for status, *_ in answers)
+            await world.until(lambda: not world.node.engines.tasks)
+            assert not world.node.core.requests and not world.node.core.router.requests
+            gc.collect()  # for cycles of the tests' own; a timer's reference is none
+            assert not living(InferenceRequest) and not living(PolicyRequest)
+
+    story(play)()
+
+
+@story
+async def test_a_served_request_is_freed_from_the_decision_module_and_not_at_its_deadline():
+    async with World() as world:
+        assert (await world.ask("q-1", req_deadline_ms=LONG_DEADLINE_MS))[3]
+        await world.settled()
+        gc.collect()
+        assert not living(PolicyRequest)
