--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -278,16 +278,18 @@
 
     def remind(self, wait, note):
         # A timer keeps nothing alive: one for a request's deadline may outlive the request by hours.
-        self.clock.after(wait, self._on_reminder, weakref.ref(note))
+        self.clock.after(wait, self._on_timer, weakref.ref(note))
 
     def log(self, line):
         self._log.info("mode", pool=self.pool, line=line)
 
     # Internal
-    def _on_reminder(self, reference):
+    def _on_timer(self, reference):
         note = reference()
-        if note is None:
-            return  # it has ended, and the module keeps it no longer
+        if note is not None:  # else it has ended, and the module keeps it no longer
+            self._on_reminder(note)
+
+    def _on_reminder(self, note):
         view = getattr(note, "view", None)
         if view in self.requests:
             self._dispatch(self.requests[view], self.router.reminded, note)
