Memory follows the traffic, not the workers of the fleet times the sessions

Change: the first 32 ranks of an order are kept, as an array, and the rest is computed for whoever looks further; a list's orders live as long as a roster that uses them; bounded lists in place of deques, one queue of notes for all actors; ids are packed as bytes. Why it works: nothing that is kept for a key or a past list grows with the fleet any more.

Replaced: test_settings_process looked for lru_cache and the like; it looks for weak dictionaries too now, and the one shared cache that it allows is one of these. Two race tests take from a list what was a deque.

--- a/ramppulley/engines/connections.py
+++ b/ramppulley/engines/connections.py
@@ -6,7 +6,6 @@
 import asyncio
 import errno
 from bisect import insort
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -87,7 +86,7 @@
     ) -> None:
         self.host, self.port, self.idle_timeout_s = host, port, idle_timeout_s
         self.budget = budget or ConnectionBudget(max_connections + 1)  # one more for the reserved connection
-        self.idle: deque[IdleConnection] = deque()  # longest idle first
+        self.idle: list[IdleConnection] = []  # longest idle first
         self.opened = 0  # total over the life of the pool
         self.reserved: Transport | None = None  # kept open so that control calls need no handshake
         self.closed = False
@@ -154,7 +153,7 @@
 
     def evict(self, transport: Transport) -> None:
         """Closes an idle connection."""
-        self.idle = deque(idle for idle in self.idle if idle.transport is not transport)
+        self.idle = [idle for idle in self.idle if idle.transport is not transport]
         self._close(transport)
 
     def _close(self, transport: Transport) -> None:
@@ -225,7 +224,7 @@
         """Closes connections past the idle timeout; to be called periodically."""
         now = asyncio.get_running_loop().time()
         while self.idle and now - self.idle[0].since >= self.idle_timeout_s:
-            self._close(self.idle.popleft().transport)
+            self._close(self.idle.pop(0).transport)
 
     def close(self) -> None:
         """Closes all idle connections; those in use are closed on release."""
--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -1,32 +1,49 @@
 """Building blocks of the decision module that decide nothing themselves: actors, samples, the prefix cache, the roster,
 rendezvous hashing and statistics."""
 
+from array import array
 from collections import deque, namedtuple
-from functools import lru_cache
+from functools import partial
+from heapq import nlargest, nsmallest
 from math import inf, log
 from struct import unpack
+from weakref import WeakValueDictionary
 
 #: Estimates of a worker: `prefill_pace` is time per uncached token, `stream_lateness` how much longer its streams take than
 #: promised, as a part of the promised time, and `stream_time` how long they last.
 Figures = namedtuple("Figures", "memory_load first_token_time prefill_pace queued_tokens stream_lateness stream_time")
 
 
+class BoundedList(list):
+    """A list of the last `max_count` values, which `append` bounds. Unlike a deque, it takes little memory while empty."""
+
+    __slots__ = ("max_count",)
+
+    def __init__(self, max_count):
+        super().__init__()
+        self.max_count = max_count
+
+    def append(self, value):
+        list.append(self, value)
+        if len(self) > self.max_count:
+            del self[0]
+
+
 class Actor:
-    """Handles the notes (messages) in its inbox one at a time: the note `event` by its method `on_<event>`."""
+    """Handles notes (messages) one at a time, in the order they were sent: the note `event` by its method `on_<event>`."""
 
-    __slots__ = "router", "inbox", "turn", "__weakref__"
+    __slots__ = "router", "turn", "__weakref__"
 
     def __init__(self, router):
-        self.router, self.inbox, self.turn = router, deque(), 0
+        self.router, self.turn = router, 0
 
     @property
     def now(self):
         return self.router.clock
 
     def note(self, event, *arguments):
-        """Adds a note to the inbox; `Router.tell` delivers it within the same call from the host."""
-        self.inbox.append((event, arguments))
-        self.router.due.append(self)
+        """Sends a note to this actor; `Router.tell` delivers it within the same call from the host."""
+        self.router.due.append((self, event, arguments))
 
 
 class PolicyAttempt:
@@ -77,8 +94,8 @@
     __slots__ = "span", "samples", "recent_values", "recent_median", "recent_mean", "valid_until"
 
     def __init__(self, span, max_count):
-        self.span, self.samples = span, deque(maxlen=max_count)
-        self.recent_values, self.recent_median, self.recent_mean, self.valid_until = [], None, 0.0, inf
+        self.span, self.samples = span, BoundedList(max_count)
+        self.recent_values, self.recent_median, self.recent_mean, self.valid_until = (), None, 0.0, inf
 
     def add(self, at, value):
         self.samples.append((at, value))
@@ -198,84 +215,163 @@
 SECOND_MULTIPLIER = 0xD6E8FEB86659FD93
 WORD_MASK = 0xFFFFFFFFFFFFFFFF
 LANE_BITS = 128
+LANE_BYTES = LANE_BITS // 8
 DRAWN_KEYS = 1024  # maximum number of keys whose orders are cached, per list of workers
-MAX_CACHED_LISTS = 16  # more than one, as the routers of a process may see different lists at a time
+MAX_CACHED_ORDERS = 4096  # of all these keys together, but for those of the last key
+FIRST_RANKS = 32  # of an order that are cached; few draws look further
+
+
+class RankedWorkers:
+    """The workers of a list as a key ranks them, best first: indices into the list.
+
+    Only the `first` ones are kept. Whoever looks further has the order computed anew by `rank_all`.
+
+    >>> ranked = RankedWorkers(array("I", [2, 0]), lambda: [2, 0, 1])
+    >>> ranked[0], list(ranked[:2]), list(ranked[1:]), list(ranked)
+    (2, [2, 0], [0, 1], [2, 0, 1])
+    """
+
+    __slots__ = "first", "rank_all"
+
+    def __init__(self, first, rank_all):
+        self.first, self.rank_all = first, rank_all
+
+    def __getitem__(self, index):
+        last = index.stop if isinstance(index, slice) else index + 1
+        return (self.first if last is not None and last <= len(self.first) else self.rank_all())[index]
+
+    def __iter__(self):
+        yield from self.first
+        yield from self.rank_all()[len(self.first) :]
+
+    def __eq__(self, other):
+        return list(self) == list(other)
 
 
 class RendezvousOrders:
     """Weighted rendezvous hashing: the order in which a key ranks the workers of a list, as indices into it, the same at all
     routers that have the list.
 
-    A worker comes first in proportion to its weight. An order is computed when it is first used, and cached.
+    A worker comes first in proportion to its weight. An order is computed when it is first used, and its first ranks are
+    cached: the memory follows the number of orders, not that of the workers.
 
     >>> orders = RendezvousOrders(((7, 1.0, 0, 0, 1.0), (8, 1.0, 0, 0, 1.0), (9, 1.0, 1, 0, 1.0)))
-    >>> orders.order(5), orders.in_group(5, 0), orders.outside_group(5, 0, 0, 4)
-    ((0, 1, 2), (0, 1), (2,))
+    >>> [list(order) for order in (orders.order(5), orders.in_group(5, 0), orders.outside_group(5, 0, 0, 4))]
+    [[0, 1, 2], [0, 1], [2]]
     """
 
     def __init__(self, workers):
-        self.workers, self.orders = workers, {}
+        self.workers = workers
+        self.orders = {}  # for each key, the first ranks by selection
+        self.order_count = 0  # in all of them
         self.weights = [weight or 1 for _, weight, *_ in workers]
         self.equal_weights = len(set(self.weights)) < 2
+        self.last_hashes = None, []  # the last key, and the hashes of all workers with it
+        self.members = {}  # indices by group
+        for i, worker in enumerate(workers):
+            self.members.setdefault(worker[2], array("I")).append(i)
         # all endpoint ids packed into one integer, in lanes of 128 bits, so that one multiplication mixes them all
-        self.lane_ones = sum([1 << LANE_BITS * i for i in range(len(workers))])
-        self.packed_marks = sum([(workers[i][0] & WORD_MASK) << LANE_BITS * i for i in range(len(workers))])
+        self.lane_ones = int.from_bytes((1).to_bytes(LANE_BYTES, "little") * len(workers), "little")
+        self.lane_mask = WORD_MASK * self.lane_ones
+        self.packed_marks = int.from_bytes(
+            b"".join([(worker[0] & WORD_MASK).to_bytes(LANE_BYTES, "little") for worker in workers]), "little"
+        )
 
     def hashes(self, key):
         """The rendezvous hash of the key with each worker, as integers from 1 to 2 ** 32."""
-        mask = WORD_MASK * self.lane_ones
-        mixed = ((self.packed_marks ^ key * self.lane_ones) * FIRST_MULTIPLIER) & mask
-        mixed = ((mixed ^ (mixed >> 32 & mask)) * SECOND_MULTIPLIER) & mask
-        lanes = mixed.to_bytes(LANE_BITS // 8 * len(self.workers), "little")
-        return [(value >> 32) + 1 for value in unpack(f"<{2 * len(self.workers)}Q", lanes)[::2]]
-
-    def cached(self, key):
+        if self.last_hashes[0] != key:
+            mask = self.lane_mask
+            mixed = ((self.packed_marks ^ key * self.lane_ones) * FIRST_MULTIPLIER) & mask
+            mixed = ((mixed ^ (mixed >> 32 & mask)) * SECOND_MULTIPLIER) & mask
+            lanes = mixed.to_bytes(LANE_BYTES * len(self.workers), "little")
+            self.last_hashes = key, [(value >> 32) + 1 for value in unpack(f"<{2 * len(self.workers)}Q", lanes)[::2]]
+        return self.last_hashes[1]
+
+    def cached(self, key, selection, rank):
+        """The order of this selection of workers; `rank(key, *selection, count)` computes its first `count` indices, or all
+        of them where that is None."""
         known = self.orders.get(key)
         if known is None:
-            while len(self.orders) >= DRAWN_KEYS:
-                del self.orders[next(iter(self.orders))]
-            known = self.orders[key] = {"hashes": self.hashes(key)}
-        return known
-
-    def weighted_hashes(self, key):
-        known = self.cached(key)
-        if "weighted" not in known:
-            known["weighted"] = [-log(value / 2**32) / weight for value, weight in zip(known["hashes"], self.weights)]
-        return known["weighted"]
+            while len(self.orders) >= DRAWN_KEYS or (self.orders and self.order_count >= MAX_CACHED_ORDERS):
+                self.order_count -= len(self.orders.pop(next(iter(self.orders))))
+            known = self.orders[key] = {}
+        first = known.get(selection)
+        if first is None:
+            first = known[selection] = array("I", rank(key, *selection, FIRST_RANKS))
+            self.order_count += 1
+        return first if len(first) < FIRST_RANKS else RankedWorkers(first, partial(rank, key, *selection, None))
+
+    def weighted(self, key, indices):
+        """What these workers are ranked by, the smallest first."""
+        hashes, weights = self.hashes(key), self.weights
+        return [-log(hashes[i] / 2**32) / weights[i] for i in indices]
 
     def order(self, key):
-        known = self.cached(key)
-        if "order" not in known:
-            if self.equal_weights:  # the weighting would not change their order
-                by_hash = known["hashes"].__getitem__
-                known["order"] = tuple(sorted(range(len(self.workers)), key=by_hash, reverse=True))
-            else:
-                known["order"] = tuple(sorted(range(len(self.workers)), key=self.weighted_hashes(key).__getitem__))
-        return known["order"]
+        """The ordered indices of all workers."""
+        return self.cached(key, (), self.rank_all_workers)
+
+    def rank_all_workers(self, key, count):
+        return self.rank(key, range(len(self.workers)), count)
+
+    def rank(self, key, indices, count):
+        """The first `count` of these indices, which ascend, in the key's order."""
+        if self.equal_weights:  # the weighting would not change their order
+            return first_in_order(indices, self.hashes(key).__getitem__, count, largest=True)
+        rank_of = dict(zip(indices, self.weighted(key, indices)))
+        return first_in_order(indices, rank_of.__getitem__, count)
 
     def in_group(self, key, group):
         """The ordered indices of a group's workers."""
-        known, selection = self.cached(key), (group,)
-        if selection not in known:
-            known[selection] = tuple([i for i in self.order(key) if self.workers[i][2] == group])
-        return known[selection]
+        return self.cached(key, (group,), self.rank_group)
+
+    def rank_group(self, key, group, count):
+        return self.rank(key, self.members.get(group, ()), count)
 
     def outside_group(self, key, group, zone, times):
         """The ordered indices of other groups' workers (of all where `group` is None). A worker comes first less often where
         its group has little spare capacity, and `times` less often where it is in another zone."""
-        known, selection = self.cached(key), (group, zone)
-        if selection not in known:
-            penalized = [
-                weighted / spare * (1 if worker_zone == zone else times)
-                for weighted, (_, _, _, worker_zone, spare) in zip(self.weighted_hashes(key), self.workers)
-            ]
-            known[selection] = tuple(
-                sorted([i for i, worker in enumerate(self.workers) if worker[2] != group], key=penalized.__getitem__)
+        return self.cached(key, (group, zone, times), self.rank_outside)
+
+    def rank_outside(self, key, group, zone, times, count):
+        penalized = [
+            weighted / spare * (1 if worker_zone == zone else times)
+            for weighted, (_, _, _, worker_zone, spare) in zip(
+                self.weighted(key, range(len(self.workers))), self.workers
             )
-        return known[selection]
+        ]
+        others = [i for i, worker in enumerate(self.workers) if worker[2] != group]
+        return first_in_order(others, penalized.__getitem__, count)
+
+
+def first_in_order(indices, sort_key, count, largest=False):
+    """The first `count` indices by this key, or all of them where that is None; equal ones stay in their order.
+
+    >>> first_in_order([0, 1, 2], [5, 9, 5].__getitem__, 2), first_in_order([0, 1, 2], [5, 9, 5].__getitem__, None, True)
+    ([0, 2], [1, 0, 2])
+    """
+    if count is None or count >= len(indices):
+        return sorted(indices, key=sort_key, reverse=largest)
+    return (nlargest if largest else nsmallest)(count, indices, key=sort_key)
+
+
+class SharedOrders:
+    """One RendezvousOrders for each list of workers that is in use, as routers of one process may have the same list."""
+
+    def __init__(self):
+        self.in_use = WeakValueDictionary()
+
+    def __call__(self, workers):
+        orders = self.in_use.get(workers)
+        if orders is None:
+            orders = self.in_use[workers] = RendezvousOrders(workers)
+        return orders
+
+    def cache_clear(self):
+        """Later calls share nothing with earlier ones."""
+        self.in_use.clear()
 
 
-rendezvous_orders_of = lru_cache(maxsize=MAX_CACHED_LISTS)(RendezvousOrders)
+rendezvous_orders_of = SharedOrders()
 
 
 def rendezvous_hash(key, worker):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -29,6 +29,7 @@
 )
 from ramppulley.parts import (
     Actor,
+    BoundedList,
     Figures,
     PolicyAttempt,
     PrefixCache,
@@ -169,13 +170,13 @@
         self.open_memory_tokens = 0  # tokens that the open attempts take
         self.load_estimate = None  # result of `memory_load`, valid until the next change
         self.load_estimate_until = 0
-        self.reports, self.attempt_starts = deque(maxlen=3), deque(maxlen=4 * SAMPLE_COUNT)
+        self.reports, self.attempt_starts = BoundedList(3), BoundedList(4 * SAMPLE_COUNT)
         self.first_token_times = Samples(SAMPLE_MAX_AGE, SAMPLE_COUNT)
         self.recent_first_token_times = Samples(SAMPLE_MAX_AGE // 3, SAMPLE_COUNT)
         self.prefill_paces = Samples(SAMPLE_MAX_AGE, SAMPLE_COUNT)  # times per uncached token
         self.stream_slowness = Samples(SAMPLE_MAX_AGE, SAMPLE_COUNT)  # actual over promised time of streams
         self.stream_times = Samples(SAMPLE_MAX_AGE, SAMPLE_COUNT)
-        self.rejections = deque(maxlen=SAMPLE_COUNT)  # time, request class and tenant of each
+        self.rejections = BoundedList(SAMPLE_COUNT)  # time, request class and tenant of each
         self.last_heard_at = self.now
         self.reported_at = 0
         self.warming_next_at = 0
@@ -386,7 +387,7 @@
         for attempt in attempts:
             self.open_attempts.append(attempt)
             self.add_open_tokens(attempt, 1)
-        self.attempt_starts += [self.now] * len(attempts)
+            self.attempt_starts.append(self.now)
         # A long prompt uses more of the slow start's budget.
         prompt_ratio = max([1, *[attempt.request.prompt_ratio for attempt in attempts]])
         self.warming_next_at = self.now + int(self.slow_start_gap() * prompt_ratio) if self.warming_up() else 0
@@ -957,7 +958,7 @@
         if not request.open_attempts and not request.maybe_ran and all([w.always_usable for w in first]):
             return first
         if request.open_attempts or request.maybe_ran:
-            order = [i for i in order if request.may_run_at(workers[i])]
+            order = (i for i in order if request.may_run_at(workers[i]))
         return list(islice((w for i in order if (w := workers[i]).always_usable or w.usable(request)), max_count))
 
     def worker_score(self, worker, request):
@@ -1139,11 +1140,9 @@
         self.clock = now
         due = self.due
         for actor, event, *arguments in notes:
-            actor.inbox.append((event, arguments))
-            due.append(actor)
+            due.append((actor, event, arguments))
         while due:
-            actor = due.popleft()
-            event, arguments = actor.inbox.popleft()
+            actor, event, arguments = due.popleft()
             actor.turn += 1
             getattr(actor, NOTE_HANDLERS[event])(*arguments)
 
--- a/tests/test_race_attempts.py
+++ b/tests/test_race_attempts.py
@@ -30,7 +30,7 @@
 def backdate(pool, seconds):
     """Makes the idle connections look idle for `seconds` longer."""
     for _ in range(len(pool.idle)):
-        transport, since = pool.idle.popleft()
+        transport, since = pool.idle.pop(0)
         pool.idle.append(IdleConnection(transport, since - seconds))
 
 
--- a/tests/test_race_idle_connections.py
+++ b/tests/test_race_idle_connections.py
@@ -87,7 +87,7 @@
         other.scripts.clear()
     pool = pool_of(world, worker)
     await until(lambda: pool.idle)
-    transport, _ = pool.idle.popleft()
+    transport, _ = pool.idle.pop(0)
     transport.last_used_at -= 1.0  # idle for long enough to be reused for any request
     pool.idle.append(IdleConnection(transport, transport.last_used_at))
     return worker, script.transport, transport
--- a/tests/test_settings_process.py
+++ b/tests/test_settings_process.py
@@ -27,6 +27,7 @@
 ROUTER_SOURCES += ["fleet", "wire"]
 
 
+CACHES = "lru_cache", "cache", "cached_property", "WeakValueDictionary"
 CONTAINERS = ast.Dict, ast.List, ast.Set, ast.DictComp, ast.ListComp, ast.SetComp
 
 
@@ -47,9 +48,9 @@
             elif isinstance(node, ast.FunctionDef | ast.AsyncFunctionDef | ast.Lambda):
                 defaults = [*node.args.defaults, *node.args.kw_defaults]
                 kept |= {f"{file}:{node.lineno}" for value in defaults if isinstance(value, (*CONTAINERS, ast.Call))}
-            elif isinstance(node, ast.Name) and node.id in ("lru_cache", "cache", "cached_property"):
-                kept.add(f"{file} {node.id}")
-    assert kept == {"parts.py lru_cache"}
+            elif (name := getattr(node, "id", getattr(node, "attr", None))) in CACHES:
+                kept.add(f"{file} {name}")
+    assert kept == {"parts.py WeakValueDictionary"}
 
 
 def containers():
