A stream that took no time counts as fast, not as unknown: a race test failed by it

Seen: test_race_idle_connections, a close between the look and the write, `assert 40 < 40` by chance (4 of 65 runs on another machine): all requests went to the decode worker whose connection was not under test.

Cause: the mean of a worker's stream times was taken as `mean or 1 + average`, so that a first stream within one tick of the clock (0.1 ms) made its worker one of which nothing is known. The other one, with a stream of a tick, ranked before it for 4 s.

Change: asked is whether anything was measured; a stream without a promised pace is on time also if it took no time. Tests: two in tests/test_rules_choice.py, the first seen to fail before.

--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -231,7 +231,9 @@
                     PEER_LOAD_SHIFT_MAX,
                 )
             wait = self.decode_wait(average, (reported_load or 0) + (others_tokens or 0) / capacity - FULL_MEMORY_SHARE)
-            slowness = max(-0.5, min(1.5, (self.stream_slowness.mean(now) or 1 + average.stream_lateness) - 1))
+            measured = self.stream_slowness.recent(now)  # a stream that came whole took no time: 0.0 is a measurement
+            lateness = self.stream_slowness.mean(now) - 1 if measured else average.stream_lateness
+            slowness = max(-0.5, min(1.5, lateness))
         if self.can_prefill:
             queued_tokens = average.queued_tokens if others_tokens is None else others_tokens
             if peer_report:
@@ -419,8 +421,8 @@
         if outcome == DONE and attempt.first_token_at is not None:
             self.stream_times.add(now, now - attempt.first_token_at)
             # Without a promised pace, or an expected length, the stream counts as on time.
-            promised = attempt.request.expected_output_tokens * view.use_case.pace or now - attempt.first_token_at
-            self.stream_slowness.add(now, (now - attempt.first_token_at) / (promised or 1))
+            promised = attempt.request.expected_output_tokens * view.use_case.pace
+            self.stream_slowness.add(now, (now - attempt.first_token_at) / promised if promised else 1.0)
         if outcome in (READ, DONE, NO_ROOM, NO_STATE) or report is not None:
             self.mark_responsive()
         if attempt.is_prefill and outcome in (READ, TOO_SLOW):
@@ -1213,7 +1215,7 @@
                 wait = (median(waits) or 0) * len(waits) / (len(waits) + SAMPLE_COUNT)
                 load = mean([w.memory_load() for w in same_role])
                 ratios = [r for w in same_role for r in w.stream_slowness.recent(clock)]
-                slowness = ((mean(ratios) or 1.0) - 1) * len(ratios) / (len(ratios) + SAMPLE_COUNT)
+                slowness = (mean(ratios) - 1) * len(ratios) / (len(ratios) + SAMPLE_COUNT)
                 stream_time = median([t for w in same_role for _, t in w.stream_times.samples]) or SAMPLE_MAX_AGE
             average = Figures(load, wait, pace, queued_tokens, slowness, stream_time)
             known = self.fleet_figures[worker.endpoint.role] = clock, average, average._replace(memory_load=load / 2)
--- a/tests/test_rules_choice.py
+++ b/tests/test_rules_choice.py
@@ -1,5 +1,7 @@
 """Tests of the decision module: which worker is chosen, by its load, cached prefixes, pace and the other routers."""
 
+import dataclasses
+
 from fakehost import MS, FakeHost, S, endpoint
 from rules_rig import read
 
@@ -148,3 +150,29 @@
             preferred.setdefault(prefix, set()).add(prefilled_at[-1])
     assert all(len(preferred[prefix]) == 1 for prefix in "abcd")
     assert len(set(prefilled_at)) == 14  # and every prefill worker is used, also those whose group has a decode worker
+
+
+def lateness_after_a_stream_of(duration, pace=600):
+    """The estimated lateness of a decode worker after one stream of this duration, and that of one without any."""
+    host = FakeHost([endpoint(1, "read"), endpoint(2, "write"), endpoint(3, "write")])
+    host.case = dataclasses.replace(host.case, pace=pace)
+    view = host.ask()
+    read(host, view)
+    used = host.last(view)[2]
+    host.first(view)
+    host.now += duration
+    host.ends(view, door.DONE, final=True)
+    host.router.told(host.now + 100 * MS, [])  # moves the module's clock to the next figures
+    unused = next(e for e in host.endpoints if e.role == "write" and e is not used)
+    return [host.router.workers[e].figures().stream_lateness for e in (used, unused)]
+
+
+def test_a_stream_that_came_whole_counts_as_fast_and_not_as_one_of_which_nothing_is_known():
+    """Guards against a worker that was passed over for good after one stream within a tick of the clock (incident 0022)."""
+    used, unused = lateness_after_a_stream_of(0)
+    assert used == -0.5 < unused < 0
+    assert abs(unused - lateness_after_a_stream_of(1)[1]) < 1e-3
+
+
+def test_a_stream_without_a_promised_pace_is_on_time_however_short_it_was():
+    assert lateness_after_a_stream_of(0, pace=0) == lateness_after_a_stream_of(30 * MS, pace=0) == [0.0, 0.0]
