--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -22,7 +22,7 @@
     KvStep,
     TrackedRequest,
 )
-from ramppulley.service.record import AttemptRecord, RequestRecord
+from ramppulley.service.record import record_of
 
 ANSWER_SLACK = 1_000  # after a request's deadline, in tenths of a millisecond; more than event loop delay explains
 KV_STATE_SLACK = 3_000  # the same for KV state, after `kv_state_limit`
@@ -407,46 +407,4 @@
             self._release_kv_state(tracked)
         del self.requests[tracked.view]
         tracked.request.body = None  # the largest part; other references may live until the next garbage collection
-        request, final_answer, usage = tracked.request, tracked.final_answer, tracked.usage
-        request_class = tracked.view.use_case
-        self.event_log.add(
-            RequestRecord(
-                name=request.name,
-                kind=request.kind,
-                model=request.model,
-                pool=self.pool,
-                use_case=request.request_class,
-                effect=request_class.effect,
-                taken=tracked.accepted_at,
-                patience=request.deadline,
-                prompt=request.prompt,
-                account=request.tenant,
-                session=request.session,
-                prefix=request.prefix,
-                prefix_tokens=request.prefix_tokens,
-                most_out=request.max_out,
-                promised=request_class.promised + request_class.promised_per_k * request.prompt // 1000,
-                first=tracked.first_token_at,
-                ended=tracked.ended_at,
-                how=final_answer.result,
-                harmless=final_answer.retryable,
-                why=final_answer.reason,
-                come_back=final_answer.retry_after,
-                prompt_counted=usage.prompt if usage else 0,
-                cached=usage.cached if usage else 0,
-                written=usage.written if usage else 0,
-                kv_events=tracked.kv_events,
-                sends=[
-                    AttemptRecord(
-                        self.name_of(attempt.endpoint),
-                        attempt.is_prefill,
-                        attempt.started,
-                        attempt.result[0],
-                        attempt.first_token_at,
-                        attempt.result[1].outcome,
-                        attempt.result[1].reason,
-                    )
-                    for attempt in tracked.attempts
-                ],
-            )
-        )
+        self.event_log.add(record_of(tracked, self.pool, self.name_of))
--- a/ramppulley/service/record.py
+++ b/ramppulley/service/record.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 from dataclasses import MISSING, dataclass, field, fields
 
-from ramppulley.service.neutral import KvEvent
+from ramppulley.service.neutral import KvEvent, Usage
 
 VERSION = 1
 
@@ -58,6 +58,53 @@
     v: int = VERSION
 
 
+def record_of(tracked, pool, name_of):
+    """The record of a TrackedRequest whose attempts have all ended; `name_of` returns an endpoint's name."""
+    request, answer, request_class = tracked.request, tracked.final_answer, tracked.view.use_case
+    usage = tracked.usage or Usage()
+    return RequestRecord(
+        name=request.name,
+        kind=request.kind,
+        model=request.model,
+        pool=pool,
+        use_case=request.request_class,
+        effect=request_class.effect,
+        taken=tracked.accepted_at,
+        patience=request.deadline,
+        prompt=request.prompt,
+        account=request.tenant,
+        session=request.session,
+        prefix=request.prefix,
+        prefix_tokens=request.prefix_tokens,
+        most_out=request.max_out,
+        promised=request_class.promised + request_class.promised_per_k * request.prompt // 1000,
+        first=tracked.first_token_at,
+        ended=tracked.ended_at,
+        how=answer.result,
+        harmless=answer.retryable,
+        why=answer.reason,
+        come_back=answer.retry_after,
+        prompt_counted=usage.prompt,
+        cached=usage.cached,
+        written=usage.written,
+        kv_events=tracked.kv_events,
+        sends=[_attempt_record_of(attempt, name_of) for attempt in tracked.attempts],
+    )
+
+
+def _attempt_record_of(attempt, name_of):
+    ended_at, result = attempt.result
+    return AttemptRecord(
+        worker=name_of(attempt.endpoint),
+        reads=attempt.is_prefill,
+        start=attempt.started,
+        end=ended_at,
+        first=attempt.first_token_at,
+        outcome=result.outcome,
+        why=result.reason,
+    )
+
+
 def _to_dict(record):
     """The fields of a record that differ from their defaults, as they are written to its line."""
     values = {
