A zone that comes back cold: the spacing of a slow start no longer sorts all attempts of the role for each worker

Each sorted the kept attempt times of all workers of its role to find their densest run: (workers told) x (workers of the role) x 32. `on_sent` paid the same once an attempt at a worker that warms up.

Change: `RoleAttempts` keeps the attempt times of a role in order and their densest run. An attempt adds one time; a run is searched anew only if an attempt of that very run was dropped since. Workers that may be forgotten are found by the order in which they went, not by a look at all workers for each change.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -2,10 +2,12 @@
 rendezvous hashing and statistics."""
 
 from array import array
+from bisect import bisect_left, insort
 from collections import deque, namedtuple
 from functools import partial
 from heapq import nlargest, nsmallest
 from math import inf, log
+from operator import sub
 from struct import unpack
 from weakref import WeakValueDictionary
 
@@ -74,6 +76,67 @@
         self.expected_time = worker.prefill_time(uncached_tokens) if worker.can_prefill else 0
 
 
+class RoleAttempts:
+    """The workers of one role and the start times of their kept attempts, with the densest run of these.
+
+    Adding a time and finding the densest run take time that does not depend on the number of workers, unless an attempt of
+    that very run has been removed since.
+
+    >>> attempts = RoleAttempts()
+    >>> for at in (0, 40, 50, 55, 60): attempts.add(at)
+    >>> attempts.densest(3), attempts.densest(3), attempts.densest(9)
+    ((3, 20), (3, 20), (4, 60))
+    >>> attempts.remove([50, 0]); attempts.densest(3)
+    (2, 20)
+    """
+
+    __slots__ = "worker_count", "times", "count", "span", "begin", "end"
+
+    def __init__(self):
+        self.worker_count = 0
+        self.times = []  # ascending
+        self.count, self.span, self.begin, self.end = None, 1, 0, 0  # densest run; `count` is None if it is not known
+
+    def add(self, at):
+        """Adds the start time of an attempt."""
+        if self.times and at < self.times[-1]:
+            insort(self.times, at)
+            self.count = None
+            return
+        self.times.append(at)
+        if self.count is not None and at - self.times[-1 - self.count] < self.span:
+            self._set_run(len(self.times) - 1 - self.count)
+
+    def _set_run(self, index):
+        """Makes the run that begins at this index the densest."""
+        self.begin, self.end = self.times[index], self.times[index + self.count]
+        self.span = max(1, self.end - self.begin)
+
+    def remove(self, removed):
+        """Removes these times, each of which was added."""
+        times = self.times
+        kept = []
+        start = 0
+        for at in sorted(removed):
+            index = bisect_left(times, at, start)
+            kept += times[start:index]
+            start = index + 1
+            if self.begin <= at <= self.end:
+                self.count = None
+        self.times = kept + times[start:]
+
+    def densest(self, count):
+        """(count, span): the shortest span between times that are `count` apart, with fewer times between all of them."""
+        if not self.times:
+            return 0, 1
+        count = min(count, len(self.times) - 1)
+        if self.count != count:
+            self.count = count
+            spans = list(map(sub, self.times[count:], self.times))
+            self._set_run(spans.index(min(spans)))
+        return count, self.span
+
+
 class TenantUsage:
     """A tenant's usage under one settings object: the requests that its share allows here, and its last arrivals."""
 
@@ -383,17 +446,6 @@
     return ((mixed >> 32) + 1) / 2**32
 
 
-def densest_window(series, count):
-    """(count, span): the shortest span between times that are `count` apart, in all the series of times together.
-
-    >>> densest_window([[0, 50, 60], [40, 55]], 3), densest_window([[]], 3)
-    ((3, 20), (0, 1))
-    """
-    times = sorted(at for one in series for at in one)
-    count = max(0, min(count, len(times) - 1))
-    return count, max(1, min((b - a for a, b in zip(times, times[count:])), default=1))
-
-
 def blended(own, reported, part, max_change):
     """Our own estimate, moved towards a reported one by a part of the difference, and by no more than `max_change`.
 
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -7,8 +7,8 @@
 """
 
 from bisect import bisect_right
-from collections import deque
-from itertools import count, islice
+from collections import defaultdict, deque
+from itertools import count, islice, takewhile
 from operator import attrgetter
 from random import Random
 from zlib import crc32
@@ -33,11 +33,11 @@
     Figures,
     PolicyAttempt,
     PrefixCache,
+    RoleAttempts,
     Roster,
     Samples,
     TenantUsage,
     blended,
-    densest_window,
     mean,
     median,
 )
@@ -52,6 +52,7 @@
 
 # Samples and timers
 SAMPLE_COUNT = 8  # last samples kept of each figure
+KEPT_ATTEMPTS = 4 * SAMPLE_COUNT  # start times of last attempts kept of each worker, and in the densest run of its role
 SAMPLE_MAX_AGE = 4000 * MS  # an older sample does not describe the present
 CLOCK_TO_WRITE_DELAY = 150 * MS  # maximum time between a process's clock reading and its write
 TICK_INTERVAL = 80 * MS  # between checks of requests without a first token
@@ -136,6 +137,7 @@
         "load_estimate_until",
         "reports",
         "attempt_starts",
+        "role_attempts",
         "first_token_times",
         "recent_first_token_times",
         "prefill_paces",
@@ -170,7 +172,8 @@
         self.open_memory_tokens = 0  # tokens that the open attempts take
         self.load_estimate = None  # result of `memory_load`, valid until the next change
         self.load_estimate_until = 0
-        self.reports, self.attempt_starts = BoundedList(3), BoundedList(4 * SAMPLE_COUNT)
+        self.reports, self.attempt_starts = BoundedList(3), BoundedList(KEPT_ATTEMPTS)
+        self.role_attempts = router.role_attempts[endpoint.role]
         self.first_token_times = Samples(SAMPLE_MAX_AGE, SAMPLE_COUNT)
         self.recent_first_token_times = Samples(SAMPLE_MAX_AGE // 3, SAMPLE_COUNT)
         self.prefill_paces = Samples(SAMPLE_MAX_AGE, SAMPLE_COUNT)  # times per uncached token
@@ -320,14 +323,13 @@
         up.
         """
         settings = self.router.policy_settings
-        same_role = [w for w in self.router.workers.values() if w.endpoint.role == self.endpoint.role]
-        count, span = densest_window([w.attempt_starts for w in same_role], 4 * SAMPLE_COUNT)
+        count, span = self.role_attempts.densest(KEPT_ATTEMPTS)
         if count < SAMPLE_COUNT:
             return int(settings.cold_window * max(2, self.router.routers / 2))
         ramp = SLOW_START_RAMP_SHARE * (1 - settings.cold_from) * max(0, self.now - self.started_at) / settings.cold_for
         return int(
             span
-            * len(same_role)
+            * self.role_attempts.worker_count
             / (count * settings.cold_multiple * (settings.cold_from + ramp) * SLOW_START_BUDGET_SHARE)
         )
 
@@ -355,15 +357,6 @@
             )
         )
 
-    def can_be_forgotten(self):
-        """Gone for so long that its samples no longer describe others of its role; if it returns it is a new worker."""
-        return (
-            self.state == "gone"
-            and not self.open_attempts
-            and not self.probing
-            and self.now - self.gone_at >= REJECTION_MAX_AGE
-        )
-
     def update_always_usable(self):
         self.always_usable = self.state == "ready" and self.started_at is None and not self.suspect
 
@@ -381,6 +374,8 @@
             self.router.host.remind(TICK_INTERVAL, self)
         if state == "gone" != self.state:
             self.gone_at = self.now
+        if state != self.state:
+            self.router.state_changed(self, state)
         self.state, self.prefix_cache.memory, self.load_estimate_until = state, self.endpoint.memory, 0
         self.update_always_usable()
 
@@ -389,13 +384,19 @@
         for attempt in attempts:
             self.open_attempts.append(attempt)
             self.add_open_tokens(attempt, 1)
-            self.attempt_starts.append(self.now)
+            self.keep_attempt_start()
         # A long prompt uses more of the slow start's budget.
         prompt_ratio = max([1, *[attempt.request.prompt_ratio for attempt in attempts]])
         self.warming_next_at = self.now + int(self.slow_start_gap() * prompt_ratio) if self.warming_up() else 0
         if self.suspect:
             self.half_open_at = self.now + HALF_OPEN_DELAY_MAX
 
+    def keep_attempt_start(self):
+        if len(self.attempt_starts) == KEPT_ATTEMPTS:
+            self.role_attempts.remove(self.attempt_starts[:1])
+        self.attempt_starts.append(self.now)
+        self.role_attempts.add(self.now)
+
     def add_open_tokens(self, attempt, sign):
         self.open_uncached_tokens = self.open_uncached_tokens + attempt.uncached_tokens * sign
         self.open_memory_tokens = self.open_memory_tokens + attempt.memory * sign
@@ -1136,6 +1137,8 @@
         super().__init__(self)
         self.host, self.clock, self.due, self.random = host, now, deque(), Random(seed).random
         self.workers, self.requests, self.fleet_figures, self.worker_numbers = {}, {}, {}, count()
+        self.role_attempts = defaultdict(RoleAttempts)
+        self.gone_workers = {}  # in the order in which they went; the keys alone matter
         self.roster = self.subset_roster = Roster((), GROUP_REACH_FACTOR)
         self.last_attempt_at = now
         self.prompt_lengths = deque(maxlen=8 * SAMPLE_COUNT)
@@ -1229,16 +1232,41 @@
         self.clock = now
         for endpoint in endpoints:
             if endpoint not in self.workers:
-                self.workers[endpoint] = Worker(self, endpoint)
+                self.add_worker(endpoint)
         self.tell(now, *[(self.workers[endpoint], "listed", endpoint.state, endpoint.born) for endpoint in endpoints])
-        for worker in [w for w in self.workers.values() if w.can_be_forgotten()]:
-            del self.workers[worker.endpoint]
+        self.forget_gone_workers()
         subset = [w for w in self.workers.values() if w.endpoint.usual]
         self.roster = self.subset_roster = Roster(self.workers.values(), GROUP_REACH_FACTOR)
         if len(subset) < len(self.workers):
             self.subset_roster = Roster(subset, GROUP_REACH_FACTOR)
         self.tell(now, (self.admission, "listed"))
 
+    def add_worker(self, endpoint):
+        worker = self.workers[endpoint] = Worker(self, endpoint)
+        worker.role_attempts.worker_count += 1
+        self.state_changed(worker, worker.state)
+
+    def state_changed(self, worker, state):
+        """A worker's listed state is new."""
+        self.gone_workers.pop(worker, None)
+        if state == "gone":
+            self.gone_workers[worker] = None
+
+    def forget_gone_workers(self):
+        """Forgets those that have been gone for so long that their samples no longer describe others of their role; one that
+        returns after that is a new worker."""
+        forgotten_attempts = defaultdict(list)
+        for worker in self.long_gone_workers():
+            if not worker.open_attempts and not worker.probing:
+                del self.workers[worker.endpoint], self.gone_workers[worker]
+                worker.role_attempts.worker_count -= 1
+                forgotten_attempts[worker.role_attempts] += worker.attempt_starts
+        for role_attempts, starts in forgotten_attempts.items():
+            role_attempts.remove(starts)
+
+    def long_gone_workers(self):
+        return list(takewhile(lambda worker: self.clock - worker.gone_at >= REJECTION_MAX_AGE, self.gone_workers))
+
     def told(self, now, endpoints):
         """Peer reports of these workers have changed: `Endpoint.heard` is new."""
         self.tell(now, *[(self.workers[endpoint], "peer_report") for endpoint in endpoints if endpoint in self.workers])
