Lines of the list cost by what they change: the roster is kept in step, and made for a decision, not for a line

After the mend of the slow start's spacing each line of the list still had the roster of all workers made anew, with shares of all groups and both rendezvous orders.

Change: - `ReadyWorkers` has the ready workers by role with what they are ranked by; a changed worker moves a few arrays by one place. - A roster's shares and orders are made when a decision needs them: once after any number of lines. Orders are keyed by flat tuples. - `EndpointList` finds the workers to forget by their order, not by a look at all that are gone. - The policy is told once of all changes that one read brings, in the order in which they came; of a worker that changes twice in a read each time. For the connections and the permission to send a change counts at once, as before.

RendezvousOrders takes its workers by columns now; its tests convert theirs, their assertions are as they were.

--- a/ramppulley/daemon/platform/node.py
+++ b/ramppulley/daemon/platform/node.py
@@ -53,6 +53,7 @@
         self.endpoints_known = False  # whether a list of workers has been received
         self._logged_states: WeakKeyDictionary[door.Endpoint, str] = WeakKeyDictionary()  # last logged state
         self._ready_logged = False
+        self._unpublished: dict[str, list[door.Endpoint]] = {}  # changed, by id; the policy does not know of it yet
 
     async def start(self) -> Self:
         """Does not await, so that no signal handler sees a partly started node.
@@ -70,6 +71,7 @@
         known = self.configuration.known_endpoints
         if known is not None and known.entries:
             self._on_update(known)
+            self._publish_changes()
         self.front = self._make_front()
         self.watch = self._make_watch().start()
         self.engines.refresh_list = self.watch.read_now
@@ -109,6 +111,7 @@
             lambda: self.endpoints.seq,
             self.log,
             random.Random(self.configuration.seed).random,
+            self._publish_changes,
         )
 
     def _make_front(self) -> PlatformFront:
@@ -152,18 +155,26 @@
 
     def _on_update(self, update: platform.EndpointUpdate) -> None:
         """Handles an endpoint update from the configuration or from discovery."""
+        if update.whole or any(str(entry.get("host")) in self._unpublished for entry in update.entries):
+            self._publish_changes()  # the routing policy gets each state of a worker, not only its last one
         self._apply(self.endpoints.update(update, self.clock.now(), int(time.time() * 1000)))
 
     def _apply(self, changed: list[ListedEndpoint]) -> None:
-        """Passes changed endpoints and their addresses to the connections and to the routing policy."""
+        """Passes changed endpoints and their addresses to the connections, where they count from now on."""
         self._log_states(changed)
         for endpoint, address in changed:
             self.engines.set_address(endpoint, address)
             if endpoint.state == "gone":
                 self.engines.close_worker(endpoint)
+            self._unpublished.setdefault(self.endpoints.workers.ids[endpoint], []).append(endpoint)
         self.endpoints_known = self.endpoints_known or bool(changed)
+
+    def _publish_changes(self) -> None:
+        """Passes the changed endpoints to the routing policy, those of updates that arrived together at once."""
+        changed = [endpoint for endpoints in self._unpublished.values() for endpoint in endpoints]
+        self._unpublished.clear()
         if changed:
-            self.core.endpoints_changed([listed.endpoint for listed in changed])
+            self.core.endpoints_changed(changed)
 
     def _log_states(self, changed: list[ListedEndpoint]) -> None:
         """Logs a line for each known worker whose state changed, under its name in the list."""
@@ -199,7 +210,9 @@
         self.front.configure(profile, self._max_requests())
         self.core.reconfigured(self._tenants(), **profile.module_arguments())
         self.core.kv_state_limit = profile.policy_settings.let_go_within
+        self._publish_changes()
         self._apply(self.endpoints.configure(profile))
+        self._publish_changes()
 
     def sizes(self) -> dict[str, object]:
         """Sizes of everything that could grow, for the log."""
--- a/ramppulley/fleet/platform/endpoint_list.py
+++ b/ramppulley/fleet/platform/endpoint_list.py
@@ -1,6 +1,7 @@
 """The platform's endpoint list: applies each update to endpoints and their addresses. No I/O."""
 
 from collections.abc import Iterable
+from itertools import takewhile
 from typing import Any, NamedTuple
 from weakref import WeakKeyDictionary
 
@@ -118,7 +119,7 @@
                 self.gone_since.pop(name, None)
             elif self.workers.endpoints.get(name) is endpoint:  # else another worker has taken over the id
                 self.gone_since.setdefault(name, now)
-        for name in [name for name, since in self.gone_since.items() if now - since >= GONE_RETENTION]:
+        for name, _ in list(takewhile(lambda gone: now - gone[1] >= GONE_RETENTION, self.gone_since.items())):
             self.workers.forget(name)
             for table in (self.gone_since, self.starts, self.placements):
                 table.pop(name, None)
--- a/ramppulley/fleet/platform/list_call.py
+++ b/ramppulley/fleet/platform/list_call.py
@@ -55,14 +55,20 @@
 
 
 class ListCall:
-    """One call and its response. `on_line(call, text)` gets each complete text, also an empty one.
+    """One call and its response. `on_line(call, text)` gets each complete text, also an empty one; `on_read_end()` is called
+    after each read, once all the texts that it completed have been delivered.
 
     What discovery has written stays in the socket buffer until it is read. `read_now` reads it for callers that need it
     before this call's own task runs.
     """
 
-    def __init__(self, address: platform.Address, on_line: Callable[["ListCall", bytes], None]) -> None:
-        self.address, self.on_line = address, on_line
+    def __init__(
+        self,
+        address: platform.Address,
+        on_line: Callable[["ListCall", bytes], None],
+        on_read_end: Callable[[], None],
+    ) -> None:
+        self.address, self.on_line, self.on_read_end = address, on_line, on_read_end
         self.connection: Transport | None = None  # None until connected
         self.parser, self.texts = http.ResponseParser(MAX_TEXT_BYTES), JsonTextSplitter()
         self.task: asyncio.Task[None] | None = None  # that runs `follow`
@@ -129,6 +135,16 @@
         if self._reading or self._ended or connection is None:
             return
         self._reading = True
+        try:
+            self._process_received(connection, until, min_bytes)
+            self.on_read_end()
+        finally:
+            self._reading = False
+        if self._ended:
+            connection.readable.wake()
+
+    def _process_received(self, connection: Transport, until: float, min_bytes: int) -> None:
+        """As `_read`; an error ends the call and is raised in its own task."""
         try:
             while not self._ended and (data := connection.receive_nowait()) is not None:
                 self._process(data)
@@ -138,10 +154,6 @@
         except Exception as fault:  # the caller must not fail because of it
             self._fault.store(fault)
             self._ended = True
-        finally:
-            self._reading = False
-        if self._ended:
-            connection.readable.wake()
 
     def _process(self, data: bytes) -> None:
         """Processes received bytes; b"" means end of stream."""
--- a/ramppulley/fleet/platform/watch.py
+++ b/ramppulley/fleet/platform/watch.py
@@ -45,7 +45,8 @@
 
 
 class DiscoveryWatch:
-    """Follows discovery at `address` and calls `on_update` for each update.
+    """Follows discovery at `address` and calls `on_update` for each update, then `on_read_end` once the updates that arrived
+    together have been passed on.
 
     `held_seq()` returns the current list version, for the log. `rng` returns values from 0 to 1 that add jitter, so that
     many routers do not call at the same time.
@@ -58,8 +59,10 @@
         held_seq: Callable[[], int],
         log: Log,
         rng: Callable[[], float],
+        on_read_end: Callable[[], None] = lambda: None,
     ) -> None:
         self.address, self.on_update, self.held_seq, self.log, self.rng = address, on_update, held_seq, log, rng
+        self.on_read_end = on_read_end
         self.task: asyncio.Task[None] | None = None  # None: not started, or stopped
         self.has_update = False  # whether any call delivered an update
         self.has_failed_call = False  # whether a call ended, or was joined by a parallel one, without a line
@@ -153,7 +156,7 @@
     def _call(self) -> ListCall:
         """Starts a call in parallel to the pending ones."""
         self.calls += 1
-        call = ListCall(self.address, self._on_line)
+        call = ListCall(self.address, self._on_line, self.on_read_end)
         self._pending.append(call)
         for superseded in self._pending[: -MAX_PENDING_CALLS - 1]:
             self._discard(superseded)
--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -218,9 +218,110 @@
         return own if own > shared else shared
 
 
+class RoleTable:
+    """Workers of one kind, prefill or decode, in the order of their numbers, with what they are ranked by.
+
+    A change moves a few arrays by one place; nothing is made anew for all workers.
+    """
+
+    def __init__(self):
+        self.numbers = []  # ascending; the other lists have the same order
+        self.workers = []
+        self.marks = []
+        self.weights = []
+        self.groups = []
+        self.zones = []
+        self.packed_marks = bytearray()  # a lane for each worker
+        self.by_group = {}  # lists of workers, each in the order of their numbers
+        self.numbers_by_group = {}
+        self.weight_by_group = {}
+
+    def insert(self, number, worker):
+        """Adds a worker that is not in the table."""
+        endpoint = worker.endpoint
+        index = bisect_left(self.numbers, number)
+        self.numbers.insert(index, number)
+        self.workers.insert(index, worker)
+        self.marks.insert(index, endpoint.mark)
+        self.weights.insert(index, endpoint.weight)
+        self.groups.insert(index, endpoint.cell)
+        self.zones.insert(index, endpoint.zone)
+        lane = (endpoint.mark & WORD_MASK).to_bytes(LANE_BYTES, "little")
+        self.packed_marks[index * LANE_BYTES : index * LANE_BYTES] = lane
+        numbers = self.numbers_by_group.setdefault(endpoint.cell, [])
+        index = bisect_left(numbers, number)
+        numbers.insert(index, number)
+        self.by_group.setdefault(endpoint.cell, []).insert(index, worker)
+        self._sum_weights(endpoint.cell)
+
+    def remove(self, number):
+        """Removes a worker that is in the table."""
+        index = bisect_left(self.numbers, number)
+        group = self.groups[index]
+        for column in (self.numbers, self.workers, self.marks, self.weights, self.groups, self.zones):
+            del column[index]
+        del self.packed_marks[index * LANE_BYTES : (index + 1) * LANE_BYTES]
+        numbers = self.numbers_by_group[group]
+        index = bisect_left(numbers, number)
+        del numbers[index], self.by_group[group][index]
+        if numbers:
+            self._sum_weights(group)
+        else:
+            del self.numbers_by_group[group], self.by_group[group], self.weight_by_group[group]
+
+    def _sum_weights(self, group):
+        self.weight_by_group[group] = sum([worker.endpoint.weight for worker in self.by_group[group]])
+
+    def is_listed_as(self, number, endpoint):
+        """Whether the table has the worker of this number with what its endpoint says now."""
+        index = bisect_left(self.numbers, number)
+        return (
+            index < len(self.numbers)
+            and self.numbers[index] == number
+            and (self.groups[index], self.weights[index], self.zones[index])
+            == (endpoint.cell, endpoint.weight, endpoint.zone)
+        )
+
+    def group_weights(self):
+        """The sum of the workers' weights by group, the group of the first worker first."""
+        groups = sorted([(numbers[0], group) for group, numbers in self.numbers_by_group.items()])
+        return {group: self.weight_by_group[group] for _, group in groups}
+
+    def ranked_fields(self, spare_share):
+        """The RankedFields of the workers; `spare_share` is by group."""
+        return RankedFields(
+            tuple(self.marks),
+            tuple(self.weights),
+            tuple(self.groups),
+            tuple(self.zones),
+            tuple([spare_share[group] for group in self.groups]),
+        )
+
+
+class ReadyWorkers:
+    """The ready workers of a fleet, kept in step with the list by `update`."""
+
+    def __init__(self):
+        self.prefill, self.decode = RoleTable(), RoleTable()
+        self.kinds = {}  # the table of each listed worker, by number
+
+    def update(self, number, worker):
+        """Takes a worker's present state, group, zone and weight. `number` is its own, and ascends with the list."""
+        table = self.kinds.get(number)
+        ready = worker.state == "ready"
+        if ready and table is not None and table.is_listed_as(number, worker.endpoint):
+            return
+        if table is not None:
+            table.remove(number)
+            del self.kinds[number]
+        if ready:
+            table = self.kinds[number] = self.decode if worker.can_decode else self.prefill
+            table.insert(number, worker)
+
+
 class Roster:
     """Ready workers by role, and each group's `prefill_share`: its part of all prefill capacity divided by its part of all
-    decode capacity.
+    decode capacity. Valid until `ready`, the ReadyWorkers that it shows, changes.
 
     `near`: how many times their even share the prefill workers of a group may serve for its own decode workers. A group
     whose decode workers need more is in `short_groups`.
@@ -232,48 +333,89 @@
     ...         can_decode=role != "read",
     ...         endpoint=N(role=role, cell=group, zone=0, weight=1, mark=group),
     ...     )
-    >>> roster = Roster([worker("read", 0), worker("read", 0), worker("write", 0), worker("write", 1)], 1.5)
+    >>> roster = Roster.of([worker("read", 0), worker("read", 0), worker("write", 0), worker("write", 1)], 1.5)
     >>> len(roster.prefill_workers), len(roster.decode_workers), roster.prefill_share, roster.short_groups
     (2, 2, {0: 2.0, 1: 0.0}, {1})
     """
 
-    def __init__(self, workers, near):
-        ready, self.by_role, self.decode_by_group = [w for w in workers if w.state == "ready"], {}, {}
-        for worker in ready:
-            self.by_role.setdefault(worker.endpoint.role, []).append(worker)
-        self.prefill_workers, self.decode_workers = self.by_role.get("read", []), [w for w in ready if w.can_decode]
-        weight = [{}, {}]
-        for worker in ready:
-            part = weight[worker.can_decode]
-            part[worker.endpoint.cell] = part.get(worker.endpoint.cell, 0) + worker.endpoint.weight
-            if worker.can_decode:
-                self.decode_by_group.setdefault(worker.endpoint.cell, []).append(worker)
-        prefill_weight, decode_weight = (sum(part.values()) or 1 for part in weight)
+    def __init__(self, ready, near):
+        self.ready, self.near = ready, near
+        self.prefill_workers, self.decode_workers = ready.prefill.workers, ready.decode.workers
+        self.decode_by_group = ready.decode.by_group
+        self._by_role, self._oldest_starts, self._draws = {}, {}, None  # made when a decision first needs them
+
+    @classmethod
+    def of(cls, workers, near):
+        """A roster of those of these workers that are ready."""
+        ready = ReadyWorkers()
+        for number, worker in enumerate(workers):
+            ready.update(number, worker)
+        return cls(ready, near)
+
+    def same_role(self, worker):
+        """The ready workers of this worker's role."""
+        role = worker.endpoint.role
+        if role not in self._by_role:
+            candidates = self.decode_workers if worker.can_decode else self.prefill_workers
+            self._by_role[role] = [candidate for candidate in candidates if candidate.endpoint.role == role]
+        return self._by_role[role]
+
+    def oldest_start(self, worker):
+        """The earliest start of a ready worker of this worker's role; None if one has been running for long."""
+        role = worker.endpoint.role
+        if role not in self._oldest_starts:
+            starts = [same.started_at for same in self.same_role(worker)]
+            self._oldest_starts[role] = None if None in starts else min(starts)
+        return self._oldest_starts[role]
+
+    @property
+    def draws(self):
+        if self._draws is None:
+            self._draws = RosterDraws(self.ready, self.near)
+        return self._draws
+
+    @property
+    def prefill_share(self):
+        return self.draws.prefill_share
+
+    @property
+    def short_groups(self):
+        return self.draws.short_groups
+
+    @property
+    def prefill_orders(self):
+        return self.draws.prefill_orders
+
+    @property
+    def decode_orders(self):
+        return self.draws.decode_orders
+
+
+class RosterDraws:
+    """The shares of a roster's groups, and the orders in which its workers are drawn."""
+
+    def __init__(self, ready, near):
+        prefill, decode = ready.prefill.group_weights(), ready.decode.group_weights()
+        prefill_weight, decode_weight = sum(prefill.values()) or 1, sum(decode.values()) or 1
         self.prefill_share = {
-            group: weight[0].get(group, 0) / prefill_weight * decode_weight / (weight[1].get(group, 0) or 1e-9)
-            for group in {**weight[0], **weight[1]}
+            group: prefill.get(group, 0) / prefill_weight * decode_weight / (decode.get(group, 0) or 1e-9)
+            for group in {**prefill, **decode}
         }
         self.short_groups = {group for group, share in self.prefill_share.items() if share * near < 1}
         # The part of a group's prefill capacity that its own decode workers leave to other groups. It is the whole of it in
         # a short group, whose decode workers use the prefill workers of the entire fleet.
-        spare = {
+        spare_share = {
             group: 1.0 if group in self.short_groups else max(0.1, 1 - 1 / share)
             for group, share in self.prefill_share.items()
         }
         self.prefill_orders, self.decode_orders = (
-            rendezvous_orders_of(
-                tuple(
-                    [
-                        (w.endpoint.mark, w.endpoint.weight, w.endpoint.cell, w.endpoint.zone, spare[w.endpoint.cell])
-                        for w in ready_workers
-                    ]
-                )
-            )
-            for ready_workers in (self.prefill_workers, self.decode_workers)
+            rendezvous_orders_of(table.ranked_fields(spare_share), table.packed_marks)
+            for table in (ready.prefill, ready.decode)
         )
 
-    def same_role(self, worker):
-        return self.by_role.get(worker.endpoint.role, [])
+
+#: What workers are ranked by: a tuple for each figure, with one value for each worker.
+RankedFields = namedtuple("RankedFields", "marks weights groups zones spare_shares")
 
 
 FIRST_MULTIPLIER = 0x9E3779B97F4A7C15
@@ -320,27 +462,25 @@
     A worker comes first in proportion to its weight. An order is computed when it is first used, and its first ranks are
     cached: the memory follows the number of orders, not that of the workers.
 
-    >>> orders = RendezvousOrders(((7, 1.0, 0, 0, 1.0), (8, 1.0, 0, 0, 1.0), (9, 1.0, 1, 0, 1.0)))
+    >>> orders = RendezvousOrders(RankedFields((7, 8, 9), (1.0, 1.0, 1.0), (0, 0, 1), (0, 0, 0), (1.0, 1.0, 1.0)))
     >>> [list(order) for order in (orders.order(5), orders.in_group(5, 0), orders.outside_group(5, 0, 0, 4))]
     [[0, 1, 2], [0, 1], [2]]
     """
 
-    def __init__(self, workers):
-        self.workers = workers
+    def __init__(self, workers, packed_marks=None):
+        """`packed_marks`: the endpoint ids in lanes of LANE_BYTES, where they are known."""
+        self.workers, self.count = workers, len(workers.marks)
         self.orders = {}  # for each key, the first ranks by selection
         self.order_count = 0  # in all of them
-        self.weights = [weight or 1 for _, weight, *_ in workers]
+        self.weights = [weight or 1 for weight in workers.weights]
         self.equal_weights = len(set(self.weights)) < 2
         self.last_hashes = None, []  # the last key, and the hashes of all workers with it
-        self.members = {}  # indices by group
-        for i, worker in enumerate(workers):
-            self.members.setdefault(worker[2], array("I")).append(i)
         # all endpoint ids packed into one integer, in lanes of 128 bits, so that one multiplication mixes them all
-        self.lane_ones = int.from_bytes((1).to_bytes(LANE_BYTES, "little") * len(workers), "little")
+        self.lane_ones = int.from_bytes((1).to_bytes(LANE_BYTES, "little") * self.count, "little")
         self.lane_mask = WORD_MASK * self.lane_ones
-        self.packed_marks = int.from_bytes(
-            b"".join([(worker[0] & WORD_MASK).to_bytes(LANE_BYTES, "little") for worker in workers]), "little"
-        )
+        if packed_marks is None:
+            packed_marks = b"".join([(mark & WORD_MASK).to_bytes(LANE_BYTES, "little") for mark in workers.marks])
+        self.packed_marks = int.from_bytes(packed_marks, "little")
 
     def hashes(self, key):
         """The rendezvous hash of the key with each worker, as integers from 1 to 2 ** 32."""
@@ -348,8 +488,8 @@
             mask = self.lane_mask
             mixed = ((self.packed_marks ^ key * self.lane_ones) * FIRST_MULTIPLIER) & mask
             mixed = ((mixed ^ (mixed >> 32 & mask)) * SECOND_MULTIPLIER) & mask
-            lanes = mixed.to_bytes(LANE_BYTES * len(self.workers), "little")
-            self.last_hashes = key, [(value >> 32) + 1 for value in unpack(f"<{2 * len(self.workers)}Q", lanes)[::2]]
+            lanes = mixed.to_bytes(LANE_BYTES * self.count, "little")
+            self.last_hashes = key, [(value >> 32) + 1 for value in unpack(f"<{2 * self.count}Q", lanes)[::2]]
         return self.last_hashes[1]
 
     def cached(self, key, selection, rank):
@@ -376,7 +516,7 @@
         return self.cached(key, (), self.rank_all_workers)
 
     def rank_all_workers(self, key, count):
-        return self.rank(key, range(len(self.workers)), count)
+        return self.rank(key, range(self.count), count)
 
     def rank(self, key, indices, count):
         """The first `count` of these indices, which ascend, in the key's order."""
@@ -390,7 +530,7 @@
         return self.cached(key, (group,), self.rank_group)
 
     def rank_group(self, key, group, count):
-        return self.rank(key, self.members.get(group, ()), count)
+        return self.rank(key, [i for i, own in enumerate(self.workers.groups) if own == group], count)
 
     def outside_group(self, key, group, zone, times):
         """The ordered indices of other groups' workers (of all where `group` is None). A worker comes first less often where
@@ -398,13 +538,12 @@
         return self.cached(key, (group, zone, times), self.rank_outside)
 
     def rank_outside(self, key, group, zone, times, count):
+        _, _, groups, zones, spare_shares = self.workers
         penalized = [
             weighted / spare * (1 if worker_zone == zone else times)
-            for weighted, (_, _, _, worker_zone, spare) in zip(
-                self.weighted(key, range(len(self.workers))), self.workers
-            )
+            for weighted, worker_zone, spare in zip(self.weighted(key, range(self.count)), zones, spare_shares)
         ]
-        others = [i for i, worker in enumerate(self.workers) if worker[2] != group]
+        others = [i for i, own in enumerate(groups) if own != group]
         return first_in_order(others, penalized.__getitem__, count)
 
 
@@ -425,10 +564,10 @@
     def __init__(self):
         self.in_use = WeakValueDictionary()
 
-    def __call__(self, workers):
+    def __call__(self, workers, packed_marks=None):
         orders = self.in_use.get(workers)
         if orders is None:
-            orders = self.in_use[workers] = RendezvousOrders(workers)
+            orders = self.in_use[workers] = RendezvousOrders(workers, packed_marks)
         return orders
 
     def cache_clear(self):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -33,6 +33,7 @@
     Figures,
     PolicyAttempt,
     PrefixCache,
+    ReadyWorkers,
     RoleAttempts,
     Roster,
     Samples,
@@ -338,10 +339,14 @@
         if self.state != "ready" or self.started_at is None or not self.warming_up():
             return self.state == "ready"
         return self.now >= self.warming_next_at and (
-            request.prompt_ratio <= SLOW_START_PROMPT_FACTOR
-            or all([w.warming_up() for w in self.router.roster.same_role(self)])
+            request.prompt_ratio <= SLOW_START_PROMPT_FACTOR or self.whole_role_warms_up()
         )
 
+    def whole_role_warms_up(self):
+        """Whether all ready workers of its role, itself included, warm up."""
+        oldest_start = self.router.roster.oldest_start(self)
+        return oldest_start is not None and self.now - oldest_start < self.router.policy_settings.cold_for
+
     def usable(self, request):
         """Whether the request may be sent here; to a suspect worker only as a half-open probe, where no load probes are."""
         return self.always_usable or (
@@ -1139,7 +1144,8 @@
         self.workers, self.requests, self.fleet_figures, self.worker_numbers = {}, {}, {}, count()
         self.role_attempts = defaultdict(RoleAttempts)
         self.gone_workers = {}  # in the order in which they went; the keys alone matter
-        self.roster = self.subset_roster = Roster((), GROUP_REACH_FACTOR)
+        self.ready_workers, self.endpoints_outside_subset = ReadyWorkers(), set()
+        self.rosters = None  # of all workers, and of the subset; None where the list has changed since they were made
         self.last_attempt_at = now
         self.prompt_lengths = deque(maxlen=8 * SAMPLE_COUNT)
         # Workers that may owe a first token; requests without one.
@@ -1155,6 +1161,24 @@
         self.policy_settings = lawbook
         self.tell(now, (self.admission, "configured", zone, use_cases, accounts))
 
+    @property
+    def roster(self):
+        """The ready workers."""
+        return (self.rosters or self.make_rosters())[0]
+
+    @property
+    def subset_roster(self):
+        """The ready workers of the subset."""
+        return (self.rosters or self.make_rosters())[1]
+
+    def make_rosters(self):
+        """Made when a decision needs them: a list of workers may change many times between two decisions."""
+        whole = subset = Roster(self.ready_workers, GROUP_REACH_FACTOR)
+        if self.endpoints_outside_subset:
+            subset = Roster.of([w for w in self.workers.values() if w.endpoint.usual], GROUP_REACH_FACTOR)
+        self.rosters = whole, subset
+        return self.rosters
+
     def tell(self, now, *notes):
         """Sets the clock and delivers these notes, and all that they lead to, one at a time in the order they were sent."""
         self.clock = now
@@ -1233,12 +1257,13 @@
         for endpoint in endpoints:
             if endpoint not in self.workers:
                 self.add_worker(endpoint)
+            (self.endpoints_outside_subset.discard if endpoint.usual else self.endpoints_outside_subset.add)(endpoint)
         self.tell(now, *[(self.workers[endpoint], "listed", endpoint.state, endpoint.born) for endpoint in endpoints])
+        for endpoint in endpoints:
+            worker = self.workers[endpoint]
+            self.ready_workers.update(worker.number, worker)
         self.forget_gone_workers()
-        subset = [w for w in self.workers.values() if w.endpoint.usual]
-        self.roster = self.subset_roster = Roster(self.workers.values(), GROUP_REACH_FACTOR)
-        if len(subset) < len(self.workers):
-            self.subset_roster = Roster(subset, GROUP_REACH_FACTOR)
+        self.rosters = None
         self.tell(now, (self.admission, "listed"))
 
     def add_worker(self, endpoint):
@@ -1259,6 +1284,7 @@
         for worker in self.long_gone_workers():
             if not worker.open_attempts and not worker.probing:
                 del self.workers[worker.endpoint], self.gone_workers[worker]
+                self.endpoints_outside_subset.discard(worker.endpoint)
                 worker.role_attempts.worker_count -= 1
                 forgotten_attempts[worker.role_attempts] += worker.attempt_starts
         for role_attempts, starts in forgotten_attempts.items():
--- a/tests/test_cost_of_lists.py
+++ b/tests/test_cost_of_lists.py
@@ -11,10 +11,11 @@
 from fakehost import MS, FakeHost, S, endpoint
 
 from ramppulley import rules
-from ramppulley.parts import RoleAttempts
+from ramppulley.parts import RoleAttempts, Roster
 
 WORKERS = 3200
 HELD_UP_MAX_S = 0.15
+LIST_CPU_MAX_S = 0.12 * WORKERS / 1000  # what the operators allow a larger fleet in a day, beside its traffic
 
 
 def large_fleet():
@@ -86,3 +87,84 @@
                 kept.remove(at)
         if rng.random() < 0.5:
             assert attempts.densest(32) == brute_force_densest(kept, 32)
+
+
+def lines_of(host, form):
+    """The changes of the list, as one call each, that tell a zone's loss and return."""
+    zone = zone_of(host)
+
+    def told(endpoint, state, born=None):
+        endpoint.state, endpoint.born = state, born
+        host.router.listed(host.now, [endpoint])
+
+    def replaced(endpoint):
+        told(endpoint, "gone")
+        host.router.listed(host.now, [endpoint_like(endpoint, born=host.now)])
+
+    def whole_list():
+        start_anew(host, zone)
+        host.router.listed(host.now, host.endpoints)
+
+    return {
+        "cold": [lambda each=each: told(each, "ready", host.now) for each in zone],
+        "lost": [lambda each=each: told(each, "gone") for each in zone],
+        "lost and back": [lambda each=each, s=s: told(each, s) for s in ("gone", "ready") for each in zone],
+        "other ids": [lambda each=each: replaced(each) for each in zone],
+        "whole list": [whole_list],
+    }[form]
+
+
+def endpoint_like(replaced, born):
+    new = endpoint(replaced.mark + 1, replaced.role, replaced.cell, zone=replaced.zone)
+    new.born = born
+    return new
+
+
+@pytest.mark.parametrize("form", ["cold", "lost", "lost and back", "other ids", "whole list"])
+def test_a_zone_costs_little_in_sum_however_its_changes_are_told(form):
+    """Guards against a roster that is made anew for each line of the list (incident 0023)."""
+    host = aged_host()
+    host.now += 5 * S
+    calls = lines_of(host, form)
+    began = time.thread_time()
+    assert longest_s(calls) < HELD_UP_MAX_S
+    assert time.thread_time() - began < LIST_CPU_MAX_S
+
+
+def test_workers_that_are_long_gone_are_forgotten_with_their_attempts():
+    host = aged_host()
+    for each in zone_of(host):
+        each.state = "gone"
+    host.router.listed(host.now, zone_of(host))
+    host.now += rules.REJECTION_MAX_AGE
+    assert longest_s([lambda: host.router.listed(host.now, host.endpoints[:1])]) < HELD_UP_MAX_S
+    kept = sorted(at for worker in host.router.workers.values() for at in worker.attempt_starts)
+    counted = [attempts for attempts in host.router.role_attempts.values()]
+    assert len(host.router.workers) == sum(attempts.worker_count for attempts in counted) == WORKERS // 2
+    assert kept == sorted(at for attempts in counted for at in attempts.times)
+
+
+def shown(roster):
+    """What decisions take from a roster."""
+    prefill, decode = roster.prefill_orders.workers, roster.decode_orders.workers
+    return roster.prefill_workers, roster.decode_workers, roster.decode_by_group, roster.prefill_share, prefill, decode
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_roster_is_the_same_whichever_changes_led_to_its_list(seed):
+    rng = Random(seed)
+    endpoints = [
+        endpoint(rng.getrandbits(32), rng.choice(("read", "write", "both")), rng.randrange(6), zone=rng.randrange(3))
+        for _ in range(40)
+    ]
+    host = FakeHost(endpoints)
+    for _ in range(60):
+        changed = rng.sample(endpoints, rng.choice((1, 1, 4, 40)))
+        for each in changed:
+            each.state = rng.choice(("ready", "ready", "draining", "gone"))
+            each.weight, each.cell, each.zone = rng.choice((1.0, 0.7, 2.9)), rng.randrange(6), rng.randrange(3)
+        host.now += S
+        host.router.listed(host.now, changed)
+        if rng.random() < 0.5:
+            anew = Roster.of(host.router.workers.values(), rules.GROUP_REACH_FACTOR)
+            assert shown(host.router.roster) == shown(anew)
--- a/tests/test_fleet_memory.py
+++ b/tests/test_fleet_memory.py
@@ -11,7 +11,7 @@
 from fakehost import MS, FakeHost, endpoint
 
 from ramppulley import door
-from ramppulley.parts import RendezvousOrders, rendezvous_orders_of
+from ramppulley.parts import RankedFields, RendezvousOrders, rendezvous_orders_of
 from ramppulley.rules import PolicyRequest
 
 WORKERS = 3200
@@ -70,7 +70,7 @@
 
 def test_the_orders_of_a_key_take_little_memory_however_many_workers_there_are():
     workers = tuple((i * 7919, 1.0 + i % 2, i // 5, i % 3, 1.0) for i in range(WORKERS // 2))
-    orders = RendezvousOrders(workers)
+    orders = RendezvousOrders(RankedFields(*zip(*workers)))
     gc.collect()
     tracemalloc.start()
     try:
@@ -85,7 +85,7 @@
 
 
 def test_the_orders_of_one_key_in_all_groups_are_bounded_by_the_next_key():
-    orders = RendezvousOrders(tuple((i, 1.0, i, 0, 1.0) for i in range(5000)))
+    orders = RendezvousOrders(RankedFields(*zip(*((i, 1.0, i, 0, 1.0) for i in range(5000)))))
     for group in range(5000):
         orders.in_group(1, group)
     orders.in_group(2, 0)
@@ -95,7 +95,7 @@
 @pytest.mark.parametrize("weights", [(1.0,), (1.0, 2.5, 0.5)])
 def test_ranks_beyond_the_cached_ones_are_those_of_the_whole_order(weights):
     workers = tuple((i * 7919, weights[i % len(weights)], i % 2, i % 3, 0.5) for i in range(200))
-    orders = RendezvousOrders(workers)
+    orders = RendezvousOrders(RankedFields(*zip(*workers)))
     for key in range(20):
         weighted = dict(enumerate(orders.weighted(key, range(200))))
         whole = sorted(weighted, key=weighted.__getitem__)
--- a/tests/test_settings_two_routers.py
+++ b/tests/test_settings_two_routers.py
@@ -47,7 +47,7 @@
 
 
 def test_what_the_process_keeps_of_a_list_is_the_same_whoever_asks_and_whatever_was_asked_before():
-    workers = tuple((mark * 7919, 1.0 + mark % 2, mark % 3, mark % 2, 0.5) for mark in range(9))
+    workers = parts.RankedFields(*zip(*((mark * 7919, 1.0 + mark % 2, mark % 3, mark % 2, 0.5) for mark in range(9))))
     asked = [(key, cell, zone) for key in range(40) for cell in range(3) for zone in range(2)]
     shared, one_by_one = parts.rendezvous_orders_of(workers), []
     for key, cell, zone in asked:
--- a/tests/test_unread_list.py
+++ b/tests/test_unread_list.py
@@ -11,6 +11,7 @@
 from test_race_handover import heard_in_order
 
 from ramppulley.engines.connections import MIN_IDLE_S
+from ramppulley.rules import Router
 from ramppulley.service.neutral import InferenceRequest
 from ramppulley.standin.platform import PlatformList
 from ramppulley.wire import http
@@ -60,6 +61,58 @@
     return SimpleNamespace(gone=lambda: False, final=lambda ending: None, piece=piece)
 
 
+class ToldRouter(Router):
+    """Keeps which workers it was told of, and how they stood then; a list for each event."""
+
+    def __init__(self, host, **kwargs):
+        self.told_states = []
+        super().__init__(host, **kwargs)
+
+    def listed(self, now, endpoints):
+        self.told_states.append([(endpoint.mark, endpoint.state) for endpoint in endpoints])
+        super().listed(now, endpoints)
+
+
+async def use_writing_list(world):
+    """Replaces the world's discovery by a WritingList."""
+    await world.list.stop()
+    world.list = WritingList()
+    world.list.start()
+    world.list.hosts = {worker.name: world.entry(worker) for worker in world.workers}
+    world.node.watch.move(("127.0.0.1", world.list.listener.port))
+    await world.until(lambda: world.list.watches)
+
+
+@story
+async def test_changes_that_arrive_together_are_told_to_the_policy_together():
+    """Guards against an event of the policy for each of many lines that arrive at once (incident 0023)."""
+    async with World(readers=30, make=ToldRouter) as world:
+        await use_writing_list(world)
+        told = world.node.core.router.told_states
+        await world.until(lambda: len(told) >= 2)  # the known list, and the first one from discovery
+        del told[:]
+        for reader in world.readers:
+            world.list.write(world.entry(reader, "Terminating"))
+        world.node.watch.read_now()
+        marks = [world.node.endpoints.workers.endpoints[reader.name].mark for reader in world.readers]
+        assert told == [[(mark, "draining") for mark in marks]]
+
+
+@story
+async def test_a_worker_that_changes_twice_in_one_read_is_told_of_each_time():
+    async with World(readers=3, make=ToldRouter) as world:
+        await use_writing_list(world)
+        told = world.node.core.router.told_states
+        await world.until(lambda: len(told) >= 2)
+        del told[:]
+        one, two = world.readers[:2]
+        for reader, health in ((one, "Gone"), (two, "Terminating"), (one, "Ready"), (one, "Gone")):
+            world.list.write(world.entry(reader, health))
+        world.node.watch.read_now()
+        first, second = (world.node.endpoints.workers.endpoints[reader.name].mark for reader in (one, two))
+        assert told == [[(first, "gone"), (second, "draining")], [(first, "ready")], [(first, "gone")]]
+
+
 async def open_connections(world):
     """Opens idle connections to all workers, so that attempts begin at once; returns the worker chosen next."""
     assert (await world.ask("q-0"))[0] == 200
@@ -78,12 +131,7 @@
     @story
     async def scenario():
         async with World(readers=3) as world:
-            await world.list.stop()
-            world.list = WritingList()
-            world.list.start()
-            world.list.hosts = {worker.name: world.entry(worker) for worker in world.workers}
-            world.node.watch.move(("127.0.0.1", world.list.listener.port))
-            await world.until(lambda: world.list.watches)
+            await use_writing_list(world)
             chosen = await open_connections(world)
             before = len(chosen.of("POST"))
             world.list.write(world.entry(chosen, health))
@@ -117,12 +165,7 @@
 @story
 async def test_what_the_old_discovery_had_written_before_a_move_is_told():
     async with World(readers=2) as world:
-        await world.list.stop()
-        world.list = WritingList()
-        world.list.start()
-        world.list.hosts = {worker.name: world.entry(worker) for worker in world.workers}
-        world.node.watch.move(("127.0.0.1", world.list.listener.port))
-        await world.until(lambda: world.list.watches)
+        await use_writing_list(world)
         endpoint = world.node.endpoints.workers.endpoints["s-r0"]
         silent = PlatformList().start()
         silent.fault = lambda transport: asyncio.sleep(9)
