Where nearly all workers start anew, a request no longer sorts and checks the whole fleet for each draw

A draw that finds too few usable workers among the first 32 of its order had the whole order computed, and looked at each worker for whether it is usable: after a release of the whole fleet once for the decode workers and once for each group on the short list, for each arrival and each pass over the queue.

Change: the workers that a slow start holds back are known by a time (`blocked_until`), the usable ones are found once a decision, and only these are ranked. The order of other groups' workers is computed once a key and zone, not once a group. Few workers are hashed one by one, not all 1,600.

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -3,7 +3,7 @@
 
 from array import array
 from bisect import bisect_left, insort
-from collections import deque, namedtuple
+from collections import Counter, deque, namedtuple
 from functools import partial
 from heapq import nlargest, nsmallest
 from math import inf, log
@@ -426,34 +426,41 @@
 DRAWN_KEYS = 1024  # maximum number of keys whose orders are cached, per list of workers
 MAX_CACHED_ORDERS = 4096  # of all these keys together, but for those of the last key
 FIRST_RANKS = 32  # of an order that are cached; few draws look further
+HASHED_TOGETHER = 16  # hashing all workers at once costs less than hashing one in so many by itself
 
 
 class RankedWorkers:
     """The workers of a list as a key ranks them, best first: indices into the list.
 
-    Only the `first` ones are kept. Whoever looks further has the order computed anew by `rank_all`.
+    Only the `first` ones are kept. Whoever looks further has the order computed anew by `rank(count, indices)`, which
+    returns the first `count` (None: all) of the indices given (None: all).
 
-    >>> ranked = RankedWorkers(array("I", [2, 0]), lambda: [2, 0, 1])
-    >>> ranked[0], list(ranked[:2]), list(ranked[1:]), list(ranked)
-    (2, [2, 0], [0, 1], [2, 0, 1])
+    >>> whole = [2, 0, 1]
+    >>> ranked = RankedWorkers(array("I", [2, 0]), lambda count, among=(0, 1, 2): [i for i in whole if i in among][:count])
+    >>> ranked[0], list(ranked[:2]), list(ranked[1:]), list(ranked), ranked.among([0, 1], 1)
+    (2, [2, 0], [0, 1], [2, 0, 1], [0])
     """
 
-    __slots__ = "first", "rank_all"
+    __slots__ = "first", "rank"
 
-    def __init__(self, first, rank_all):
-        self.first, self.rank_all = first, rank_all
+    def __init__(self, first, rank):
+        self.first, self.rank = first, rank
 
     def __getitem__(self, index):
         last = index.stop if isinstance(index, slice) else index + 1
-        return (self.first if last is not None and last <= len(self.first) else self.rank_all())[index]
+        return (self.first if last is not None and last <= len(self.first) else self.rank(None))[index]
 
     def __iter__(self):
         yield from self.first
-        yield from self.rank_all()[len(self.first) :]
+        yield from self.rank(None)[len(self.first) :]
 
     def __eq__(self, other):
         return list(self) == list(other)
 
+    def among(self, indices, count):
+        """The first `count` (None: all) of these indices, which ascend, as the key ranks them."""
+        return self.rank(count, indices)
+
 
 class RendezvousOrders:
     """Weighted rendezvous hashing: the order in which a key ranks the workers of a list, as indices into it, the same at all
@@ -475,6 +482,8 @@
         self.weights = [weight or 1 for weight in workers.weights]
         self.equal_weights = len(set(self.weights)) < 2
         self.last_hashes = None, []  # the last key, and the hashes of all workers with it
+        self.last_penalized = None, {}  # the last key, and its first ranks with penalties
+        self.largest_group = max(Counter(workers.groups).values(), default=0)
         # all endpoint ids packed into one integer, in lanes of 128 bits, so that one multiplication mixes them all
         self.lane_ones = int.from_bytes((1).to_bytes(LANE_BYTES, "little") * self.count, "little")
         self.lane_mask = WORD_MASK * self.lane_ones
@@ -492,9 +501,16 @@
             self.last_hashes = key, [(value >> 32) + 1 for value in unpack(f"<{2 * self.count}Q", lanes)[::2]]
         return self.last_hashes[1]
 
+    def hash_lookup(self, key, indices):
+        """A function from each of these indices to its hash. Few are computed one by one, unless all are at hand."""
+        if self.last_hashes[0] != key and len(indices) * HASHED_TOGETHER < self.count:
+            marks = self.workers.marks
+            return {i: mixed_hash(key, marks[i]) for i in indices}.__getitem__
+        return self.hashes(key).__getitem__
+
     def cached(self, key, selection, rank):
         """The order of this selection of workers; `rank(key, *selection, count)` computes its first `count` indices, or all
-        of them where that is None."""
+        of them where that is None, and given further indices those of them that belong to it."""
         known = self.orders.get(key)
         if known is None:
             while len(self.orders) >= DRAWN_KEYS or (self.orders and self.order_count >= MAX_CACHED_ORDERS):
@@ -504,24 +520,24 @@
         if first is None:
             first = known[selection] = array("I", rank(key, *selection, FIRST_RANKS))
             self.order_count += 1
-        return first if len(first) < FIRST_RANKS else RankedWorkers(first, partial(rank, key, *selection, None))
+        return first if len(first) < FIRST_RANKS else RankedWorkers(first, partial(rank, key, *selection))
 
     def weighted(self, key, indices):
         """What these workers are ranked by, the smallest first."""
-        hashes, weights = self.hashes(key), self.weights
-        return [-log(hashes[i] / 2**32) / weights[i] for i in indices]
+        hash_of, weights = self.hash_lookup(key, indices), self.weights
+        return [-log(hash_of(i) / 2**32) / weights[i] for i in indices]
 
     def order(self, key):
         """The ordered indices of all workers."""
-        return self.cached(key, (), self.rank_all_workers)
+        return self.cached(key, (), self.rank_workers)
 
-    def rank_all_workers(self, key, count):
-        return self.rank(key, range(self.count), count)
+    def rank_workers(self, key, count, indices=None):
+        return self.rank(key, range(self.count) if indices is None else indices, count)
 
     def rank(self, key, indices, count):
         """The first `count` of these indices, which ascend, in the key's order."""
         if self.equal_weights:  # the weighting would not change their order
-            return first_in_order(indices, self.hashes(key).__getitem__, count, largest=True)
+            return first_in_order(indices, self.hash_lookup(key, indices), count, largest=True)
         rank_of = dict(zip(indices, self.weighted(key, indices)))
         return first_in_order(indices, rank_of.__getitem__, count)
 
@@ -529,22 +545,45 @@
         """The ordered indices of a group's workers."""
         return self.cached(key, (group,), self.rank_group)
 
-    def rank_group(self, key, group, count):
-        return self.rank(key, [i for i, own in enumerate(self.workers.groups) if own == group], count)
+    def rank_group(self, key, group, count, indices=None):
+        groups = self.workers.groups
+        if indices is None:
+            members = [i for i, own in enumerate(groups) if own == group]
+        else:
+            members = [i for i in indices if groups[i] == group]
+        return self.rank(key, members, count)
 
     def outside_group(self, key, group, zone, times):
         """The ordered indices of other groups' workers (of all where `group` is None). A worker comes first less often where
         its group has little spare capacity, and `times` less often where it is in another zone."""
         return self.cached(key, (group, zone, times), self.rank_outside)
 
-    def rank_outside(self, key, group, zone, times, count):
-        _, _, groups, zones, spare_shares = self.workers
-        penalized = [
-            weighted / spare * (1 if worker_zone == zone else times)
-            for weighted, worker_zone, spare in zip(self.weighted(key, range(self.count)), zones, spare_shares)
-        ]
-        others = [i for i, own in enumerate(groups) if own != group]
-        return first_in_order(others, penalized.__getitem__, count)
+    def rank_outside(self, key, group, zone, times, count, indices=None):
+        groups = self.workers.groups
+        if indices is None and count is not None:
+            ranked = self.ranked_with_penalty(key, zone, times, count + self.largest_group)
+            return [i for i in ranked if groups[i] != group][:count]
+        others = [i for i in (range(self.count) if indices is None else indices) if groups[i] != group]
+        return self.rank_with_penalty(key, others, zone, times, count)
+
+    def ranked_with_penalty(self, key, zone, times, count):
+        """The first `count` workers by `rank_with_penalty`. They are kept until another key comes, as a request may look at
+        several groups."""
+        if self.last_penalized[0] != key:
+            self.last_penalized = key, {}
+        known = self.last_penalized[1]
+        if (zone, times, count) not in known:
+            known[zone, times, count] = self.rank_with_penalty(key, range(self.count), zone, times, count)
+        return known[zone, times, count]
+
+    def rank_with_penalty(self, key, indices, zone, times, count):
+        """The first `count` of these indices, which ascend, in the order in which other groups draw them."""
+        _, _, _, zones, spare_shares = self.workers
+        penalized = {
+            i: weighted / spare_shares[i] * (1 if zones[i] == zone else times)
+            for i, weighted in zip(indices, self.weighted(key, indices))
+        }
+        return first_in_order(indices, penalized.__getitem__, count)
 
 
 def first_in_order(indices, sort_key, count, largest=False):
@@ -578,11 +617,16 @@
 rendezvous_orders_of = SharedOrders()
 
 
+def mixed_hash(key, mark):
+    """The rendezvous hash of a key with an endpoint id, an integer from 1 to 2 ** 32."""
+    mixed = ((key ^ mark) * FIRST_MULTIPLIER) & WORD_MASK
+    mixed = ((mixed ^ mixed >> 32) * SECOND_MULTIPLIER) & WORD_MASK
+    return (mixed >> 32) + 1
+
+
 def rendezvous_hash(key, worker):
     """The rendezvous hash of a key with one worker, uniform from 0 to 1."""
-    mixed = ((key ^ worker.endpoint.mark) * FIRST_MULTIPLIER) & WORD_MASK
-    mixed = ((mixed ^ mixed >> 32) * SECOND_MULTIPLIER) & WORD_MASK
-    return ((mixed >> 32) + 1) / 2**32
+    return mixed_hash(key, worker.endpoint.mark) / 2**32
 
 
 def blended(own, reported, part, max_change):
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -8,7 +8,7 @@
 
 from bisect import bisect_right
 from collections import defaultdict, deque
-from itertools import count, islice, takewhile
+from itertools import count, takewhile
 from operator import attrgetter
 from random import Random
 from zlib import crc32
@@ -33,6 +33,7 @@
     Figures,
     PolicyAttempt,
     PrefixCache,
+    RankedWorkers,
     ReadyWorkers,
     RoleAttempts,
     Roster,
@@ -149,6 +150,7 @@
         "peer_report",
         "reported_at",
         "warming_next_at",
+        "blocked_until",
         "cached_figures",
         "figures_at",
         "figures_turn",
@@ -184,6 +186,7 @@
         self.last_heard_at = self.now
         self.reported_at = 0
         self.warming_next_at = 0
+        self.blocked_until = 0  # by the slow start
         self.peer_report = None
         self.cached_figures = None
         self.figures_at = 0
@@ -342,6 +345,12 @@
             request.prompt_ratio <= SLOW_START_PROMPT_FACTOR or self.whole_role_warms_up()
         )
 
+    def update_blocked_until(self):
+        """Until then the slow start allows it no attempt, whichever request it is for."""
+        self.blocked_until = 0
+        if self.warming_up():
+            self.blocked_until = min(self.warming_next_at, self.started_at + self.router.policy_settings.cold_for)
+
     def whole_role_warms_up(self):
         """Whether all ready workers of its role, itself included, warm up."""
         oldest_start = self.router.roster.oldest_start(self)
@@ -375,6 +384,7 @@
             self.suspect, self.consecutive_failures, self.started_at = "", 0, started_at
             if self.warming_up():  # all routers learn of it at once: a random offset spreads their first attempts
                 self.warming_next_at = self.now + int(self.random() * self.slow_start_gap())
+            self.update_blocked_until()
         if self.suspect and state == "ready" != self.state:  # its half-open timer ended with the drain
             self.router.host.remind(TICK_INTERVAL, self)
         if state == "gone" != self.state:
@@ -393,6 +403,7 @@
         # A long prompt uses more of the slow start's budget.
         prompt_ratio = max([1, *[attempt.request.prompt_ratio for attempt in attempts]])
         self.warming_next_at = self.now + int(self.slow_start_gap() * prompt_ratio) if self.warming_up() else 0
+        self.update_blocked_until()
         if self.suspect:
             self.half_open_at = self.now + HALF_OPEN_DELAY_MAX
 
@@ -975,14 +986,33 @@
         drawn = self.first_usable(request, roster.decode_workers, request.draw_order[2], DRAWN_WORKERS)
         return [w for w in drawn if w.endpoint.zone == zone] + [w for w in drawn if w.endpoint.zone != zone]
 
-    def first_usable(self, request, workers, order, max_count=None):
-        """The first usable workers in the given order of indices, all of them where `max_count` is None."""
+    def first_usable(self, request, workers, order, max_count=None, known=None):
+        """The first usable workers in the given order of indices, all of them where `max_count` is None. `known` keeps the
+        indices of all usable ones from one call to the next, for the same request and workers."""
         first = [workers[i] for i in order[:max_count]]
         if not request.open_attempts and not request.maybe_ran and all([w.always_usable for w in first]):
             return first
+        if not isinstance(order, RankedWorkers):
+            return [workers[i] for i in self.usable_of(request, workers, order)][:max_count]
+        usable = self.usable_of(request, workers, order.first)
+        if max_count is None or len(usable) < max_count:
+            known = {} if known is None else known
+            if "usable" not in known:
+                known["usable"] = self.usable_of(request, workers, range(len(workers)))
+            usable = order.among(known["usable"], max_count)
+        return [workers[i] for i in usable[:max_count]]
+
+    def usable_of(self, request, workers, indices):
+        """Those of the indices whose worker is usable."""
+        now = self.now
+        usable = []
+        for i in indices:
+            worker = workers[i]
+            if worker.always_usable or (now >= worker.blocked_until and worker.usable(request)):
+                usable.append(i)
         if request.open_attempts or request.maybe_ran:
-            order = (i for i in order if request.may_run_at(workers[i]))
-        return list(islice((w for i in order if (w := workers[i]).always_usable or w.usable(request)), max_count))
+            return [i for i in usable if request.may_run_at(workers[i])]
+        return usable
 
     def worker_score(self, worker, request):
         """The part of a score that is common to both roles: zone, rejections, peer reports and missed probes."""
@@ -1035,6 +1065,7 @@
         best = None
         min_score = 0
         draws = roster.prefill_orders
+        known_usable = {}
         # Deviation from the published pair mechanism: where there are only mixed workers, each prefills all prompts itself.
         mixed_only, fast_enough = not roster.prefill_workers, CROSS_GROUP_AFTER_OF_TARGET * target
         for decode_worker in list(ranked)[:SHORT_LIST_WORKERS]:
@@ -1075,9 +1106,8 @@
                 scored = candidates.get((draw_arguments, own_group))
                 if scored is None:
                     max_count = DRAWN_WORKERS if draw == draws.outside_group else None
-                    workers = self.first_usable(
-                        request, roster.prefill_workers, draw(request.prefix_key, *draw_arguments), max_count
-                    )
+                    order = draw(request.prefix_key, *draw_arguments)
+                    workers = self.first_usable(request, roster.prefill_workers, order, max_count, known_usable)
                     scored = candidates[draw_arguments, own_group] = [
                         preferred.get((worker, own_group)) or self.score_prefill(request, worker, preferred, own_group)
                         for worker in workers[:1]
@@ -1159,6 +1189,9 @@
         self.router_scale = min(routers, ROUTER_SCALE_MAX)
         self.capabilities = permits
         self.policy_settings = lawbook
+        self.clock = now
+        for worker in self.workers.values():
+            worker.update_blocked_until()
         self.tell(now, (self.admission, "configured", zone, use_cases, accounts))
 
     @property
--- a/tests/test_cost_of_lists.py
+++ b/tests/test_cost_of_lists.py
@@ -10,7 +10,7 @@
 import pytest
 from fakehost import MS, FakeHost, S, endpoint
 
-from ramppulley import rules
+from ramppulley import door, parts, rules
 from ramppulley.parts import RoleAttempts, Roster
 
 WORKERS = 3200
@@ -168,3 +168,67 @@
         if rng.random() < 0.5:
             anew = Roster.of(host.router.workers.values(), rules.GROUP_REACH_FACTOR)
             assert shown(host.router.roster) == shown(anew)
+
+
+def count_work(monkeypatch):
+    """The workers that were looked at whether they are usable, and those that were sorted in whole orders."""
+    looked_at, sorted_ones = [], []
+    accepts, first_in_order = rules.Worker.accepts, parts.first_in_order
+
+    def counting_accepts(worker, request):
+        looked_at.append(worker)
+        return accepts(worker, request)
+
+    def counting_order(indices, sort_key, count, largest=False):
+        if count is None:
+            sorted_ones.extend(indices)
+        return first_in_order(indices, sort_key, count, largest)
+
+    monkeypatch.setattr(rules.Worker, "accepts", counting_accepts)
+    monkeypatch.setattr(parts, "first_in_order", counting_order)
+    return looked_at, sorted_ones
+
+
+@pytest.mark.parametrize("prompt", [1000, 9000])
+@pytest.mark.parametrize("cold_share", [0.9, 1.0])
+def test_a_request_does_not_go_through_all_workers_that_a_slow_start_holds_back(monkeypatch, cold_share, prompt):
+    """Guards against draws that sort and check the whole fleet where nearly all of it has started anew (incident 0023)."""
+    host = aged_host()
+    some = Random(2).sample(host.endpoints, int(WORKERS * cold_share))
+    start_anew(host, some)
+    host.router.listed(host.now, some)
+    looked_at, sorted_ones = count_work(monkeypatch)
+    for number in range(20):
+        view = host.ask(session=f"s{number}", prompt=prompt)
+        assert bool(host.told("send", view)) == (cold_share < 1)
+        assert len(looked_at) < WORKERS / 10 and len(sorted_ones) < WORKERS / 2
+        looked_at.clear()
+        sorted_ones.clear()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_draws_among_the_usable_workers_are_those_of_the_whole_order(seed):
+    rng = Random(seed)
+    endpoints = [
+        endpoint(rng.getrandbits(32), ("read", "write")[i % 2], rng.randrange(3), zone=rng.randrange(2))
+        for i in range(240)
+    ]
+    for each in endpoints:
+        each.weight = rng.choice((1.0, 2.5)) if seed % 2 else 1.0
+    host = FakeHost(endpoints, effect="receipted", group="zone")
+    admission, roster = host.router.admission, host.router.roster
+    request = rules.PolicyRequest(host.router, door.RequestView(host.case, 1000, 300, 60_000, "a"), door.Capabilities())
+    if seed % 3 == 0:
+        request.maybe_ran = [SimpleNamespace(started_at=0, worker=roster.decode_workers[0])]
+    for worker in host.router.workers.values():
+        worker.always_usable = rng.random() < 0.02 + 0.4 * (seed % 4 == 0)
+        worker.suspect = "" if worker.always_usable else "silent"
+    for key in range(10):
+        for workers, orders in (
+            (roster.decode_workers, roster.decode_orders),
+            (roster.prefill_workers, roster.prefill_orders),
+        ):
+            for order in (orders.order(key), orders.in_group(key, 1), orders.outside_group(key, 1, 0, 4)):
+                usable = [w for w in (workers[i] for i in order) if w.usable(request) and request.may_run_at(w)]
+                for count in (None, 1, 8):
+                    assert admission.first_usable(request, workers, order, count) == usable[:count]
