A release of KV state looks at recent responders, not at the whole fleet, for each call

The recent responders come first in the order, so the others are only looked at once all of these have been taken. The order is what it was (test against the whole sorted list).

--- a/ramppulley/engines/platform/releases.py
+++ b/ramppulley/engines/platform/releases.py
@@ -10,8 +10,9 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from enum import StrEnum
+from itertools import islice, takewhile
 from typing import Any, NamedTuple
 
 from ramppulley import door
@@ -191,19 +192,22 @@
         while attempt.tracked in self.running:
             await asyncio.wait({self.running[attempt.tracked]})
 
-    def _candidates(self) -> list[door.Endpoint]:
-        """Workers to call, most recent responders first; among the recent ones, those with an idle connection first."""
-        now = asyncio.get_running_loop().time()
-        endpoints = [endpoint for endpoint in reversed(self.last_response) if endpoint.state != "gone"]
-        endpoints += [
+    def _candidates(self) -> Iterator[door.Endpoint]:
+        """Workers to call, most recent responders first; among the recent ones, those with an idle connection first. The
+        others are looked at only once all recent ones have been taken."""
+        recent_after = asyncio.get_running_loop().time() - RECENT_RESPONSE_S
+        responders = list(reversed(self.last_response))
+        recent = list(takewhile(lambda endpoint: self.last_response[endpoint] >= recent_after, responders))
+        yield from self._idle_first(recent)
+        silent = [
             endpoint for endpoint in self.workers if endpoint not in self.last_response and endpoint.state == "ready"
         ]
+        yield from self._idle_first(responders[len(recent) :] + silent)
 
-        def rank(endpoint: door.Endpoint) -> tuple[bool, bool]:
-            stale = now - self.last_response.get(endpoint, 0) > RECENT_RESPONSE_S
-            return stale, not self.workers[endpoint].connections.idle
-
-        return sorted((endpoint for endpoint in endpoints if endpoint in self.workers), key=rank)
+    def _idle_first(self, endpoints: list[door.Endpoint]) -> list[door.Endpoint]:
+        """These endpoints without those that are gone, first those with an idle connection."""
+        listed = [endpoint for endpoint in endpoints if endpoint.state != "gone" and endpoint in self.workers]
+        return sorted(listed, key=lambda endpoint: not self.workers[endpoint].connections.idle)
 
     async def run(self, request_id: str, delay_s: float) -> bool:
         """Calls one worker, then two at once, then four: the latest responders may all have been partitioned at once.
@@ -215,7 +219,7 @@
         tried: set[door.Endpoint] = set()
         calls, concurrent, deadline = 0, 1, loop.time() + CAPACITY_TIMEOUT_S
         while calls < MAX_CALLS:
-            endpoints = [endpoint for endpoint in self._candidates() if endpoint not in tried][:concurrent]
+            endpoints = list(islice((endpoint for endpoint in self._candidates() if endpoint not in tried), concurrent))
             calls += max(1, len(endpoints))
             if not endpoints:
                 if not tried:
--- a/tests/test_cost_of_lists.py
+++ b/tests/test_cost_of_lists.py
@@ -3,6 +3,7 @@
 The bound is the operators' longest time for which a router may be held up between reading its clock and writing.
 """
 
+import asyncio
 import time
 from random import Random
 from types import SimpleNamespace
@@ -11,6 +12,7 @@
 from fakehost import MS, FakeHost, S, endpoint
 
 from ramppulley import door, parts, rules
+from ramppulley.engines.platform.releases import RECENT_RESPONSE_S, KvReleases
 from ramppulley.parts import RoleAttempts, Roster
 
 WORKERS = 3200
@@ -232,3 +234,66 @@
                 usable = [w for w in (workers[i] for i in order) if w.usable(request) and request.may_run_at(w)]
                 for count in (None, 1, 8):
                     assert admission.first_usable(request, workers, order, count) == usable[:count]
+
+
+class CountedWorker:
+    """A connector's worker that counts how often its connections were looked at."""
+
+    looks = 0
+
+    def __init__(self, idle):
+        self.idle = idle
+
+    @property
+    def connections(self):
+        CountedWorker.looks += 1
+        return SimpleNamespace(idle=self.idle)
+
+
+def releases_of(endpoints, rng):
+    workers = {each: CountedWorker(rng.random() < 0.3) for each in endpoints}
+    return KvReleases(None, workers, None, None, None)
+
+
+def respond(releases, endpoints, ages_s):
+    """Records that these workers responded so many seconds ago, the oldest first."""
+    now = asyncio.get_running_loop().time()
+    releases.last_response = {each: now - age for each, age in zip(endpoints, sorted(ages_s, reverse=True))}
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_release_calls_the_workers_in_the_order_of_their_last_responses(seed):
+    async def scenario():
+        rng = Random(seed)
+        endpoints = [endpoint(i, "write") for i in range(60)]
+        for each in endpoints:
+            each.state = rng.choice(("ready", "ready", "draining", "gone"))
+        releases = releases_of(rng.sample(endpoints, 50), rng)
+        responders = rng.sample(endpoints, 30)
+        respond(releases, responders, [rng.choice((0.1, 0.5, 2.0, 9.0)) for _ in responders])
+        now = asyncio.get_running_loop().time()
+        known = [each for each in reversed(releases.last_response) if each.state != "gone"]
+        known += [e for e in releases.workers if e not in releases.last_response and e.state == "ready"]
+
+        def rank(each):
+            stale = now - releases.last_response.get(each, 0) > RECENT_RESPONSE_S
+            return stale, not releases.workers[each].idle
+
+        expected = sorted((each for each in known if each in releases.workers), key=rank)
+        assert list(releases._candidates()) == expected
+
+    asyncio.run(scenario())
+
+
+def test_a_release_looks_at_recent_responders_only_while_there_is_one_to_call():
+    """Guards against a release that sorts the whole fleet for each call (incident 0023)."""
+
+    async def scenario():
+        rng, endpoints = Random(1), large_fleet()
+        releases = releases_of(endpoints, rng)
+        respond(releases, endpoints[:50], [0.1] * 20 + [5.0] * 30)
+        CountedWorker.looks = 0
+        assert next(iter(releases._candidates())) in endpoints[30:50]
+        assert CountedWorker.looks <= 20
+
+    asyncio.run(scenario())
