The periodic log line names the event that held the loop up longest

`longest_event` has the longest event of the decision module, or the reading of a list update, since the line before, with its milliseconds. Two readings of the clock an event.

--- a/ramppulley/daemon/platform/node.py
+++ b/ramppulley/daemon/platform/node.py
@@ -157,7 +157,9 @@
         """Handles an endpoint update from the configuration or from discovery."""
         if update.whole or any(str(entry.get("host")) in self._unpublished for entry in update.entries):
             self._publish_changes()  # the routing policy gets each state of a worker, not only its last one
-        self._apply(self.endpoints.update(update, self.clock.now(), int(time.time() * 1000)))
+        started = self.clock.now()
+        self._apply(self.endpoints.update(update, started, int(time.time() * 1000)))
+        self.core.event_times.record("list_update", self.clock.now() - started)
 
     def _apply(self, changed: list[ListedEndpoint]) -> None:
         """Passes changed endpoints and their addresses to the connections, where they count from now on."""
@@ -231,6 +233,7 @@
             "unread_ms": self.front.max_unread_ms(),
             "turned_away": self.front.listener.rejected,
             "failed_accepts": self.front.listener.failed_accepts,
+            "longest_event": self.core.event_times.take(),
             "cpu_s": round(time.process_time(), 2),
             "releases": ",".join(
                 f"{result}:{n}".replace(" ", "_") for result, n in sorted(self.engines.releases.counts.items())
--- a/ramppulley/service/core.py
+++ b/ramppulley/service/core.py
@@ -11,6 +11,7 @@
 
 from ramppulley import door
 from ramppulley.service.audit import Action, RuleAudit, Violation
+from ramppulley.service.event_times import EventTimes
 from ramppulley.service.neutral import (
     CLIENT_LEFT,
     COMPLETED,
@@ -43,6 +44,7 @@
         self.estimator = estimator
         self.name_of = name_of
         self.audit = audit or RuleAudit(log, clock)
+        self.event_times = EventTimes()
         self.requests, self.accepted, self.draining = {}, 0, False
         self._answered = []  # requests that the present event has given their final answer
         # maximum time that KV state is held, if the engines set one; tenths of a millisecond
@@ -298,20 +300,24 @@
 
     def _dispatch(self, tracked, event, *args):
         """Passes a request's event to the module; an exception there fails this request and no other one."""
+        name, started = getattr(event, "__name__", "event"), self.clock.now()
         try:
-            event(self.clock.now(), *args)
+            event(started, *args)
         except Exception:
-            self.audit.own_fault(getattr(event, "__name__", "event"), tracked.request.name)
+            self.audit.own_fault(name, tracked.request.name)
             self._fail_request(tracked)
         self._forget_answered()
+        self.event_times.record(name, self.clock.now() - started)
 
     def _call_guarded(self, event, call, *args, **options):
         """Passes an event of no request to the module; an exception there loses the event, but does not end the caller."""
+        started = self.clock.now()
         try:
             call(*args, **options)
         except Exception:
             self.audit.own_fault(event)
         self._forget_answered()
+        self.event_times.record(event, self.clock.now() - started)
 
     def _forget_answered(self):
         """Forgets the requests that an event has ended. It may have ended others than its own: the queue's, for instance."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -305,3 +305,16 @@
     assert len(rig.fake.final_answers) == 1 and is_empty(rig) and tracked.state is None
     if effect == "effectful":
         assert sum(not o.is_prefill and o.result[1].outcome not in door.NEVER_RAN for o in tracked.attempts) <= 1
+
+
+def test_the_longest_event_of_the_module_is_told_once():
+    rig = make_rig()
+    router = rig.core.router
+    events = {"told": 30, "probed": 250, "left": 40}  # durations in tenths of a millisecond
+    for name, duration in events.items():
+        setattr(router, name, lambda *args, duration=duration: rig.clock.run_to(rig.clock.now() + duration))
+    rig.core.event_times.take()
+    rig.core.peer_reports_changed([])
+    rig.core.probed(None, door.DONE, None)
+    rig.core.client_left(submit(rig))
+    assert rig.core.event_times.take() == "probed:25" and rig.core.event_times.take() == ""
