A whole list is split in half the time, and a worker is 22 objects for the collector, not 28

Measured at 3,200 workers: splitting a list of 550 KB took 16.5 ms of some 115 (a regular expression over all strings; now only where something is escaped): 7.7 ms. The periodic collection of garbage goes through what each listed worker is made of: 28 objects, 22 now (samples are a list by themselves, one empty set of extensions); 9.8 and 8.2 ms with idle workers.

Brackets are counted as before in 4,000 random lines (test), and the 40 random plays of the module give the same actions.

--- a/ramppulley/engines/attempts.py
+++ b/ramppulley/engines/attempts.py
@@ -32,6 +32,7 @@
 GONE_RETENTION_S = 30.0  # a worker that is gone is kept this long: its KV state may still be released
 READ_BUDGET_S = 0.004  # what one iteration of the event loop spends on parsing what workers send
 MAX_CALL_BODY_BYTES = 1 << 20  # of a control call's response
+NO_EXTENSIONS: frozenset[str] = frozenset()
 _STAGES: list[str] = list(Stage)
 
 Address = tuple[str, int]
@@ -61,7 +62,7 @@
     ) -> None:
         self.address = address
         self.gone_since: float | None = None  # event loop time
-        self.extensions: frozenset[str] = frozenset()  # protocol extensions that the worker has announced
+        self.extensions = NO_EXTENSIONS  # protocol extensions that the worker has announced
         self.connections = ConnectionPool(*address, max_connections, idle_timeout_s, budget)
 
 
--- a/ramppulley/fleet/platform/json_lines.py
+++ b/ramppulley/fleet/platform/json_lines.py
@@ -55,6 +55,7 @@
 
 def _opened_brackets(line: bytes) -> int:
     """How many brackets a line of JSON opens, less those that it closes."""
-    without_strings = STRING.sub(b"", line)
+    # Where nothing is escaped, every second part between quotation marks is a string.
+    without_strings = STRING.sub(b"", line) if b"\\" in line else b"".join(line.split(b'"')[::2])
     opened = without_strings.count(b"{") + without_strings.count(b"[")
     return opened - without_strings.count(b"}") - without_strings.count(b"]")
--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -146,7 +146,7 @@
         self.expected_count, self.arrivals = expected_count, deque(maxlen=64)
 
 
-class Samples:
+class Samples(BoundedList):
     """The last values with their times, in order. Those within the time span, their median and mean are cached until the
     oldest of them expires.
 
@@ -156,19 +156,20 @@
     ([1, 3], 2.0, [3], None)
     """
 
-    __slots__ = "span", "samples", "recent_values", "recent_median", "recent_mean", "valid_until"
+    __slots__ = "span", "recent_values", "recent_median", "recent_mean", "valid_until"
 
     def __init__(self, span, max_count):
-        self.span, self.samples = span, BoundedList(max_count)
+        super().__init__(max_count)
+        self.span = span
         self.recent_values, self.recent_median, self.recent_mean, self.valid_until = (), None, 0.0, inf
 
     def add(self, at, value):
-        self.samples.append((at, value))
+        self.append((at, value))
         self.valid_until = -inf
 
     def recent(self, now):
         if now >= self.valid_until:
-            fresh = [sample for sample in self.samples if now - sample[0] < self.span]
+            fresh = [sample for sample in self if now - sample[0] < self.span]
             self.valid_until = fresh[0][0] + self.span if fresh else inf
             self.recent_values = [value for _, value in fresh]
             self.recent_median, self.recent_mean = median(self.recent_values), mean(self.recent_values)
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -1289,7 +1289,7 @@
                 load = mean([w.memory_load() for w in same_role])
                 ratios = [r for w in same_role for r in w.stream_slowness.recent(clock)]
                 slowness = (mean(ratios) - 1) * len(ratios) / (len(ratios) + SAMPLE_COUNT)
-                stream_time = median([t for w in same_role for _, t in w.stream_times.samples]) or SAMPLE_MAX_AGE
+                stream_time = median([t for w in same_role for _, t in w.stream_times]) or SAMPLE_MAX_AGE
             average = Figures(load, wait, pace, queued_tokens, slowness, stream_time)
             known = self.fleet_figures[worker.endpoint.role] = clock, average, average._replace(memory_load=load / 2)
         return known
--- a/tests/test_settings_module.py
+++ b/tests/test_settings_module.py
@@ -117,11 +117,11 @@
     view = host.ask(prompt=3000)
     worker = host.router.workers[host.last(view)[2]]
     read(host, view)
-    assert worker.prefix_cache.tokens == {"a": 3000} and len(worker.prefill_paces.samples) == 1
+    assert worker.prefix_cache.tokens == {"a": 3000} and len(worker.prefill_paces) == 1
     worker.endpoint.memory = 5000
     configure(host)
     host.router.listed(host.now, [worker.endpoint])
-    assert worker.prefix_cache.tokens == {"a": 3000} and len(worker.prefill_paces.samples) == 1
+    assert worker.prefix_cache.tokens == {"a": 3000} and len(worker.prefill_paces) == 1
     worker.prefix_cache.add("b", 4000)
     assert worker.prefix_cache.tokens == {"b": 4000}
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -16,7 +16,7 @@
 from platform_rig import World
 
 from ramppulley.fleet.platform import watch
-from ramppulley.fleet.platform.json_lines import MAX_TEXT_BYTES, JsonTextSplitter
+from ramppulley.fleet.platform.json_lines import MAX_TEXT_BYTES, STRING, JsonTextSplitter, _opened_brackets
 from ramppulley.fleet.platform.watch import TIMEOUTS, DiscoveryWatch
 from ramppulley.standin.platform import PlatformList
 from ramppulley.wire import http
@@ -332,6 +332,16 @@
                 assert not list(splitter.feed(nonsense))
 
 
+@pytest.mark.parametrize("alphabet", ['{}[]" a', '{}[]"\\a'])
+def test_brackets_within_strings_open_nothing(alphabet):
+    rng = random.Random(1)
+    for _ in range(2000):
+        line = "".join(rng.choices(alphabet, k=rng.randrange(12))).encode()
+        outside = STRING.sub(b"", line)
+        opened = outside.count(b"{") + outside.count(b"[") - outside.count(b"}") - outside.count(b"]")
+        assert _opened_brackets(line) == opened, line
+
+
 def test_the_largest_fleet_is_read_also_where_its_list_comes_indented():
     """Term 17: 3,200 workers, with an indentation of 4 spaces and long names."""
     entry = {
