--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -366,7 +366,7 @@
         role = worker.endpoint.role
         if role not in self._oldest_starts:
             starts = [same.started_at for same in self.same_role(worker)]
-            self._oldest_starts[role] = None if None in starts else min(starts)
+            self._oldest_starts[role] = None if None in starts else min(starts, default=worker.started_at)
         return self._oldest_starts[role]
 
     @property
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -8,7 +8,7 @@
 
 from bisect import bisect_right
 from collections import defaultdict, deque
-from itertools import count, takewhile
+from itertools import count, islice, takewhile
 from operator import attrgetter
 from random import Random
 from zlib import crc32
@@ -1005,26 +1005,24 @@
         if not request.open_attempts and not request.maybe_ran and all([w.always_usable for w in first]):
             return first
         if not isinstance(order, RankedWorkers):
-            return [workers[i] for i in self.usable_of(request, workers, order)][:max_count]
-        usable = self.usable_of(request, workers, order.first)
+            return [workers[i] for i in self.usable_of(request, workers, order, max_count)]
+        usable = self.usable_of(request, workers, order.first, max_count)
         if max_count is None or len(usable) < max_count:
             known = {} if known is None else known
             if "usable" not in known:
                 known["usable"] = self.usable_of(request, workers, range(len(workers)))
             usable = order.among(known["usable"], max_count)
-        return [workers[i] for i in usable[:max_count]]
+        return [workers[i] for i in usable]
 
-    def usable_of(self, request, workers, indices):
-        """Those of the indices whose worker is usable."""
+    def usable_of(self, request, workers, indices, max_count=None):
+        """The first of the indices whose worker is usable, all of them where `max_count` is None."""
         now = self.now
-        usable = []
-        for i in indices:
-            worker = workers[i]
-            if worker.always_usable or (now >= worker.blocked_until and worker.usable(request)):
-                usable.append(i)
+        usable = (
+            i for i in indices if (w := workers[i]).always_usable or (now >= w.blocked_until and w.usable(request))
+        )
         if request.open_attempts or request.maybe_ran:
-            return [i for i in usable if request.may_run_at(workers[i])]
-        return usable
+            usable = (i for i in usable if request.may_run_at(workers[i]))
+        return list(islice(usable, max_count))
 
     def worker_score(self, worker, request):
         """The part of a score that is common to both roles: zone, rejections, peer reports and missed probes."""
@@ -1316,11 +1314,11 @@
                 self.add_worker(endpoint)
             (self.endpoints_outside_subset.discard if endpoint.usual else self.endpoints_outside_subset.add)(endpoint)
         self.tell(now, *[(self.workers[endpoint], "listed", endpoint.state, endpoint.born) for endpoint in endpoints])
+        self.rosters = None
         for endpoint in endpoints:
             worker = self.workers[endpoint]
             self.ready_workers.update(worker.number, worker)
         self.forget_gone_workers()
-        self.rosters = None
         self.tell(now, (self.admission, "listed"))
 
     def add_worker(self, endpoint):
