An attempt that pushes out an older one replaces its time in place

Removing one time copied all times of the role: 16 us an attempt at 100 workers once 32 attempts are kept of each (profile).

--- a/ramppulley/parts.py
+++ b/ramppulley/parts.py
@@ -88,6 +88,8 @@
     ((3, 20), (3, 20), (4, 60))
     >>> attempts.remove([50, 0]); attempts.densest(3)
     (2, 20)
+    >>> attempts.replace(40, 61); attempts.densest(3)
+    (2, 6)
     """
 
     __slots__ = "worker_count", "times", "count", "span", "begin", "end"
@@ -112,18 +114,26 @@
         self.begin, self.end = self.times[index], self.times[index + self.count]
         self.span = max(1, self.end - self.begin)
 
+    def replace(self, removed, at):
+        """Adds the start time of an attempt in place of an earlier one."""
+        self._forget_run_with(removed)
+        del self.times[bisect_left(self.times, removed)]
+        self.add(at)
+
     def remove(self, removed):
         """Removes these times, each of which was added."""
-        times = self.times
         kept = []
         start = 0
         for at in sorted(removed):
-            index = bisect_left(times, at, start)
-            kept += times[start:index]
+            self._forget_run_with(at)
+            index = bisect_left(self.times, at, start)
+            kept += self.times[start:index]
             start = index + 1
-            if self.begin <= at <= self.end:
-                self.count = None
-        self.times = kept + times[start:]
+        self.times = kept + self.times[start:]
+
+    def _forget_run_with(self, at):
+        if self.begin <= at <= self.end:
+            self.count = None
 
     def densest(self, count):
         """(count, span): the shortest span between times that are `count` apart, with fewer times between all of them."""
--- a/ramppulley/rules.py
+++ b/ramppulley/rules.py
@@ -409,10 +409,11 @@
             self.half_open_at = self.now + HALF_OPEN_DELAY_MAX
 
     def keep_attempt_start(self):
-        if len(self.attempt_starts) == KEPT_ATTEMPTS:
-            self.role_attempts.remove(self.attempt_starts[:1])
+        if len(self.attempt_starts) < KEPT_ATTEMPTS:
+            self.role_attempts.add(self.now)
+        else:
+            self.role_attempts.replace(self.attempt_starts[0], self.now)
         self.attempt_starts.append(self.now)
-        self.role_attempts.add(self.now)
 
     def add_open_tokens(self, attempt, sign):
         self.open_uncached_tokens = self.open_uncached_tokens + attempt.uncached_tokens * sign
@@ -1074,14 +1075,14 @@
         preferred = {}  # scores of prefill workers as preferred replicas
         best = None
         min_score = 0
-        draws = roster.prefill_orders
+        draws, short_groups = roster.prefill_orders, roster.short_groups
         known_usable = {}
         # Deviation from the published pair mechanism: where there are only mixed workers, each prefills all prompts itself.
         mixed_only, fast_enough = not roster.prefill_workers, CROSS_GROUP_AFTER_OF_TARGET * target
         for decode_worker in list(ranked)[:SHORT_LIST_WORKERS]:
             group = decode_worker.endpoint.cell
             zone = decode_worker.endpoint.zone
-            short = decode_worker.endpoint.cell in roster.short_groups
+            short = group in short_groups
             decode_score = ranked[decode_worker] + (decode_worker in tried)
             fastest = target
             wait = decode_worker.cached_figures.first_token_time
--- a/tests/test_cost_of_lists.py
+++ b/tests/test_cost_of_lists.py
@@ -93,8 +93,11 @@
         now += rng.choice((0, 0, 1, 5, 200)) * MS
         if rng.random() < 0.6 or not kept:
             at = now if rng.random() < 0.95 else rng.randrange(now + 1)
-            attempts.add(at)
             kept.append(at)
+            if rng.random() < 0.5 and len(kept) > 1:
+                attempts.replace(kept.pop(rng.randrange(len(kept) - 1)), at)
+            else:
+                attempts.add(at)
         else:
             removed = rng.sample(kept, min(len(kept), rng.choice((1, 1, 1, 5, 60))))
             attempts.remove(removed)
