Requests that came before the first list are not set aside from collections with it

Found on the reread, a fault of: where a router serves by its known list, as discovery is down at its start, the requests that are open when the first list comes were set aside with it. Once a process, by as many requests as are open then.

The first list is set aside only if no request has been accepted. The test fails before.

--- a/ramppulley/daemon/platform/command.py
+++ b/ramppulley/daemon/platform/command.py
@@ -107,6 +107,10 @@
 
 async def _exclude_first_list_from_gc(node: Node) -> None:
     """Excludes the workers of the first list as well, which comes soon after the start. In a large fleet a collection would
-    spend most of its time on them; those that leave the list are freed without one."""
+    spend most of its time on them; those that leave the list are freed without one.
+
+    Not once a request has been accepted: it needs a collection to be freed, and would stay for good.
+    """
     await node.list_received.wait()
-    gc.freeze()
+    if not node.core.accepted:
+        gc.freeze()
--- a/tests/test_long_life.py
+++ b/tests/test_long_life.py
@@ -125,3 +125,14 @@
         living = [id(each) for each in gc.get_objects()]
         assert not {id(worker) for worker in world.node.core.router.workers.values()} & set(living)
     gc.unfreeze()
+
+
+@story
+async def test_requests_before_the_first_list_are_still_collected():
+    """Guards against open requests that are excluded with a late first list and then stay for good (incident 0023)."""
+    gc.unfreeze()
+    async with World() as world:
+        assert (await world.ask("q-1"))[0] == 200
+        await world.node.list_received.wait()
+        await _exclude_first_list_from_gc(world.node)
+        assert not gc.get_freeze_count()
